--- /dev/null
+++ b/crates/drill/src/wire.rs
@@ -0,0 +1,406 @@
+//! Frames and records of the wire: batches in, replies out.
+
+use crate::charter::{self, Meter};
+use puffinladder::{Brain, End, Gauges, Outcome, Round, Txn, Writer};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read};
+
+/// No batch of any deployment comes near this; a longer one is a broken stream.
+const BODY_MOST: usize = 1 << 30;
+const HEADER: usize = 16;
+/// Bytes of the header that the length field counts: the clock behind it.
+const CLOCK: usize = 8;
+
+pub struct Header {
+    pub records: u32,
+    pub body_len: usize,
+    pub now: f64,
+}
+
+/// Fills `buffer` or says how far it came; 0 bytes is the end of input.
+fn fill(input: &mut impl Read, buffer: &mut [u8]) -> Result<usize, String> {
+    let mut have = 0;
+    while have < buffer.len() {
+        match input.read(&mut buffer[have..]) {
+            Ok(0) => break,
+            Ok(n) => have += n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(format!("the input could not be read: {e}")),
+        }
+    }
+    Ok(have)
+}
+
+/// The next header, or `None` at a clean end of input.
+pub fn read_header(input: &mut impl Read) -> Result<Option<Header>, String> {
+    let mut bytes = [0; HEADER];
+    match fill(input, &mut bytes)? {
+        0 => return Ok(None),
+        HEADER => {}
+        n => return Err(format!("the input ended inside a header, after {n} of {HEADER} bytes")),
+    }
+    let mut fields = Fields { bytes: &bytes, at: 0 };
+    let (records, len) = (fields.u32()?, fields.u32()? as usize);
+    let now = fields.f64()? / 1e3;
+    if len < CLOCK {
+        return Err(format!("a length of {len} leaves no room for the clock"));
+    }
+    if len - CLOCK > BODY_MOST {
+        return Err(format!("an oversized frame of {len} bytes"));
+    }
+    if !now.is_finite() {
+        return Err("the clock is not a number".into());
+    }
+    Ok(Some(Header { records, body_len: len - CLOCK, now }))
+}
+
+pub fn read_body(input: &mut impl Read, len: usize, body: &mut Vec<u8>) -> Result<(), String> {
+    body.clear();
+    let read =
+        input.take(len as u64).read_to_end(body).map_err(|e| format!("the input could not be read: {e}"))?;
+    if read < len {
+        return Err(format!("the input ended inside a frame, after {read} of {len} bytes"));
+    }
+    Ok(())
+}
+
+/// Takes fields off a frame, one after another.
+struct Fields<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Fields<'a> {
+    fn take(&mut self, n: usize) -> Result<&'a [u8], String> {
+        let end = self.at.checked_add(n).filter(|&end| end <= self.bytes.len());
+        let end = end.ok_or_else(|| format!("a field of {n} bytes at byte {} is cut off", self.at))?;
+        let field = &self.bytes[self.at..end];
+        self.at = end;
+        Ok(field)
+    }
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], String> {
+        let mut out = [0; N];
+        out.copy_from_slice(self.take(N)?);
+        Ok(out)
+    }
+    fn u8(&mut self) -> Result<u8, String> {
+        Ok(self.array::<1>()?[0])
+    }
+    fn u16(&mut self) -> Result<u16, String> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+    fn u32(&mut self) -> Result<u32, String> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+    fn u64(&mut self) -> Result<u64, String> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+    fn f32(&mut self) -> Result<f64, String> {
+        Ok(f32::from_le_bytes(self.array()?).into())
+    }
+    fn f64(&mut self) -> Result<f64, String> {
+        Ok(f64::from_le_bytes(self.array()?))
+    }
+    fn span(&mut self) -> Result<f64, String> {
+        Ok(self.f64()? / 1e3)
+    }
+    fn outcome(&mut self) -> Result<Outcome, String> {
+        Ok(match self.u8()? {
+            10 => Outcome::Done,
+            20 => Outcome::Failed,
+            30 => Outcome::Full,
+            40 => Outcome::TimedOut,
+            50 => Outcome::Unreachable,
+            60 => Outcome::BrokenOff,
+            70 => Outcome::Cancelled,
+            80 => Outcome::Moot,
+            other => return Err(format!("unknown outcome {other}")),
+        })
+    }
+}
+
+/// One instance: its brain and the news of the round at hand.
+struct Instance {
+    brain: Brain,
+    meters: Vec<Meter>,
+    news: News,
+}
+
+#[derive(Default)]
+struct News {
+    touched: bool,
+    returned: Vec<End>,
+    at_call: Vec<u32>,
+    ended: Vec<End>,
+    gone: Vec<u32>,
+    arrived: Vec<Txn>,
+    leave: Option<f64>,
+    wake: Option<Gauges>,
+}
+
+impl News {
+    fn clear(&mut self) {
+        self.touched = false;
+        self.returned.clear();
+        self.at_call.clear();
+        self.ended.clear();
+        self.gone.clear();
+        self.arrived.clear();
+        self.leave = None;
+        self.wake = None;
+    }
+}
+
+/// All instances of this process.
+#[derive(Default)]
+pub struct Host {
+    instances: HashMap<u32, Instance>,
+    /// Instances with news in this batch, in the order in which it came.
+    order: Vec<u32>,
+    reply: Reply,
+}
+
+impl Host {
+    pub fn reply(&mut self) -> &[u8] {
+        self.reply.finish()
+    }
+
+    /// Decodes one batch, lets each instance with news decide, and leaves the reply ready.
+    pub fn batch(&mut self, header: Header, body: &[u8]) -> Result<(), String> {
+        self.reply.clear();
+        self.order.clear();
+        let mut fields = Fields { bytes: body, at: 0 };
+        let mut instance = None;
+        for record in 1..=header.records {
+            let start = fields.at;
+            self.record(&mut fields, &mut instance)
+                .map_err(|e| format!("record {record} at byte {start}: {e}"))?;
+        }
+        if fields.at < body.len() {
+            let left = body.len() - fields.at;
+            return Err(format!("{left} bytes are left over behind record {}", header.records));
+        }
+        for id in &self.order {
+            let Some(instance) = self.instances.get_mut(id) else {
+                continue;
+            };
+            let news = &mut instance.news;
+            if !news.touched {
+                continue;
+            }
+            // A txn that came and went in one batch needs no decision.
+            let gone = &news.gone;
+            if !gone.is_empty() {
+                news.arrived.retain(|txn| !gone.contains(&txn.id));
+            }
+            let round = Round {
+                now: header.now,
+                returned: &news.returned,
+                at_call: &news.at_call,
+                ended: &news.ended,
+                gone: &news.gone,
+                arrived: &news.arrived,
+                leave: news.leave,
+                wake: news.wake,
+            };
+            self.reply.context = Some(*id);
+            instance.brain.round(&round, &mut self.reply);
+            news.clear();
+        }
+        Ok(())
+    }
+
+    fn record(&mut self, fields: &mut Fields, to: &mut Option<u32>) -> Result<(), String> {
+        let code = fields.u8()?;
+        if code == 100 {
+            *to = Some(fields.u32()?);
+            return Ok(());
+        }
+        if !matches!(code, 10 | 20 | 30 | 40 | 50 | 60 | 70 | 80 | 90) {
+            return Err(format!("unknown code {code}"));
+        }
+        let id = to.ok_or("an event before any To")?;
+        if code == 10 {
+            let seed = fields.u64()?;
+            let len = fields.u32()? as usize;
+            let (charter, meters) = charter::read(fields.take(len)?)?;
+            let brain = Brain::new(&charter, seed);
+            let news = News { touched: true, ..News::default() };
+            self.instances.insert(id, Instance { brain, meters, news });
+            self.order.push(id);
+            return Ok(());
+        }
+        let instance = self.instances.get_mut(&id);
+        let instance =
+            instance.ok_or_else(|| format!("code {code} for instance {id}, which was never launched"))?;
+        if code == 90 {
+            self.instances.remove(&id);
+            return Ok(());
+        }
+        let news = &mut instance.news;
+        if !news.touched {
+            news.touched = true;
+            self.order.push(id);
+        }
+        match code {
+            20 => news.arrived.push(submit(fields)?),
+            30 => {
+                news.ended.push(End { id: fields.u32()?, outcome: fields.outcome()?, took: fields.span()? })
+            }
+            40 => news.at_call.push(fields.u32()?),
+            50 => news.returned.push(End {
+                id: fields.u32()?,
+                outcome: fields.outcome()?,
+                took: fields.span()?,
+            }),
+            60 => news.leave = Some(fields.span()?),
+            70 => news.gone.push(fields.u32()?),
+            _ => news.wake = Some(wake(fields, &instance.meters)?),
+        }
+        Ok(())
+    }
+}
+
+fn submit(fields: &mut Fields) -> Result<Txn, String> {
+    let mut txn = Txn {
+        id: fields.u32()?,
+        product: fields.u16()?.into(),
+        customer: fields.u16()?.into(),
+        key: fields.u64()?,
+        not_after: fields.span()?,
+        hint: fields.span()?,
+        memory: fields.f32()?,
+        rank: 0.0,
+        caller: 0,
+        repeat: false,
+        write: false,
+        unread: 0.0,
+        forerunner: 0,
+    };
+    txn.rank = fields.f32()?;
+    let options = fields.u8()?;
+    txn.repeat = options & 2 != 0;
+    txn.write = options & 4 != 0;
+    if options & 1 == 0 {
+        txn.hint = 0.0;
+    }
+    txn.caller = fields.u32()?;
+    txn.unread = fields.span()?;
+    txn.forerunner = fields.u32()?;
+    Ok(txn)
+}
+
+fn wake(fields: &mut Fields, meters: &[Meter]) -> Result<Gauges, String> {
+    let _label = fields.u32()?;
+    let mut gauges = Gauges::default();
+    for at in 0..fields.u8()?.into() {
+        let value = Some(fields.f32()?);
+        match meters.get(at) {
+            Some(Meter::Busy) => gauges.busy = value,
+            Some(Meter::Runnable) => gauges.runnable = value,
+            Some(Meter::Memory) => gauges.memory = value,
+            Some(Meter::Sockets) => gauges.sockets = value,
+            Some(Meter::Other) | None => {}
+        }
+    }
+    Ok(gauges)
+}
+
+/// The reply as it grows: actions of one instance stand behind its context record.
+#[derive(Default)]
+struct Reply {
+    bytes: Vec<u8>,
+    records: u32,
+    /// The instance that decides now, until it has said its first word.
+    context: Option<u32>,
+}
+
+impl Reply {
+    fn clear(&mut self) {
+        self.bytes.clear();
+        self.bytes.extend([0; 8]);
+        self.records = 0;
+        self.context = None;
+    }
+    fn finish(&mut self) -> &[u8] {
+        let len = self.bytes.len() as u32 - 4;
+        self.bytes[0..4].copy_from_slice(&len.to_le_bytes());
+        self.bytes[4..8].copy_from_slice(&self.records.to_le_bytes());
+        &self.bytes
+    }
+    fn put(&mut self, code: u8) -> &mut Vec<u8> {
+        if let Some(instance) = self.context.take() {
+            self.bytes.push(160);
+            self.bytes.extend(instance.to_le_bytes());
+            self.records += 1;
+        }
+        self.records += 1;
+        self.bytes.push(code);
+        &mut self.bytes
+    }
+    fn put_id(&mut self, code: u8, id: u32) -> &mut Vec<u8> {
+        let bytes = self.put(code);
+        bytes.extend(id.to_le_bytes());
+        bytes
+    }
+}
+
+/// Seconds to the wire's milliseconds.
+fn ms(span: f64) -> [u8; 8] {
+    (span * 1e3).to_le_bytes()
+}
+
+impl Writer for Reply {
+    fn run(&mut self, id: u32) {
+        self.put_id(10, id);
+    }
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool) {
+        let bytes = self.put_id(20, id);
+        bytes.extend(ms(retry_after));
+        bytes.push(last.into());
+    }
+    fn void(&mut self, id: u32) {
+        self.put_id(30, id);
+    }
+    fn pause(&mut self, id: u32) {
+        self.put_id(40, id);
+    }
+    fn call(&mut self, id: u32, limit: f64) {
+        self.put_id(50, id).extend(ms(limit));
+    }
+    fn skip_call(&mut self, id: u32) {
+        self.put_id(60, id);
+    }
+    fn remember(&mut self, id: u32, span: f64) {
+        self.put_id(70, id).extend(ms(span));
+    }
+    fn forget(&mut self, id: u32) {
+        self.put_id(80, id);
+    }
+    fn replay(&mut self, id: u32) {
+        self.put_id(90, id);
+    }
+    fn health(&mut self, good: bool, stored: bool) {
+        self.put(100).extend([u8::from(good), u8::from(stored)]);
+    }
+    fn signal(&mut self, amount: f64) {
+        self.put(110).extend((amount as f32).to_le_bytes());
+    }
+    fn keepalive(&mut self, span: f64) {
+        self.put(120).extend(ms(span));
+    }
+    fn wake(&mut self, after: f64) {
+        let bytes = self.put(130);
+        bytes.extend(ms(after));
+        bytes.extend(0u32.to_le_bytes());
+    }
+    fn note(&mut self, text: &str) {
+        let mut end = text.len().min(u16::MAX.into());
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let bytes = self.put(140);
+        bytes.extend((end as u16).to_le_bytes());
+        bytes.extend(&text.as_bytes()[..end]);
+    }
+}
