--- a/crates/drill/src/charter.rs
+++ b/crates/drill/src/charter.rs
@@ -87,6 +87,7 @@
     for (at, lane) in top.parts("Lanes")?.iter().enumerate() {
         products.push(Product {
             sla: lane.span("Promise")?,
+            sla_stretch: lane.number_or_none("AimStretch")?,
             expiry: lane.span("GiveUp")?,
             value: lane.number("Importance")?,
             late_share: lane.number_or_none("LateShare")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,6 +69,10 @@
 /// steps of the pressure behind the signal, up and down.
 const PRESS_UP: f64 = 0.03;
 const PRESS_DOWN: f64 = 0.015;
+/// s of Retry-After at the most: the design page's second.
+const RETRY_AFTER: f64 = 1.0;
+/// times the room of a server at its limit that callers may fill while nothing waits: a burst must fit.
+const IDLE_ROOM: f64 = 3.0;
 /// s between two notes.
 const NOTE: f64 = 10.0;
 
@@ -78,6 +82,7 @@
 struct Terms {
     expiry: f64,
     sla: f64,
+    sla_stretch: f64,
     late_pays: bool,
     effect: Effect,
     window: f64,
@@ -85,10 +90,10 @@
     value: f64,
     wait: f64,
     wait_repeat: f64,
-    /// s from start to answer, calls included, for a txn of mean size; 0 until the first has ended.
+    /// s that a run of mean size takes outside its calls, of late, and at its best; s at its calls.
     takes: f64,
-    /// s on the cores for a txn of mean size, uncrowded.
     base: f64,
+    away: f64,
     hint: f64,
     declined: [u32; REASONS.len()],
 }
@@ -116,6 +121,7 @@
     arrived: f64,
     /// Part of the time since arrival that was a standstill of the whole process.
     forgiven: f64,
+    sla: f64,
     due: f64,
     ram: f64,
     /// Guessed work over its product's mean.
@@ -140,6 +146,7 @@
 const LEAVING: usize = 3;
 const NO_KEY: usize = 4;
 
+#[derive(Default)]
 pub struct Brain {
     products: Vec<Terms>,
     accounts: Vec<Account>,
@@ -157,6 +164,7 @@
     cold_span: f64,
     calls_share: f64,
     calls_span: f64,
+    calls_top: f64,
     lingers: f64,
     halts: bool,
     signal: Signal,
@@ -184,6 +192,8 @@
     calls_mean: f64,
     calls_seen: f64,
     rate: f64,
+    finished: f64,
+    unread: f64,
     repeat_rate: f64,
     pressure: f64,
     said: f64,
@@ -205,6 +215,7 @@
             Terms {
                 expiry: p.expiry,
                 sla: p.sla,
+                sla_stretch: p.sla_stretch,
                 late_pays: p.late_share > 0.0,
                 effect: p.effect,
                 window: p.window,
@@ -214,13 +225,15 @@
                 wait_repeat: WAIT_REPEAT * p.expiry,
                 takes: 0.0,
                 base: 0.0,
+                away: 0.0,
                 hint: 0.0,
                 declined: [0; REASONS.len()],
             }
         };
         let account = |c: &Customer| Account { quota: c.quota, rate: 0.0, worth: 1.0 };
         let calls_share = if charter.below == Below::Common { charter.calls_share } else { 0.0 };
-        let window = if calls_share > 0.0 { CALLS_FROM * calls_share } else { CALLS_CORE * charter.cores };
+        let calls_top = if calls_share > 0.0 { CALLS_TOP * calls_share } else { CALLS_CORE * charter.cores };
+        let window = if calls_share > 0.0 { CALLS_FROM * calls_share } else { calls_top };
         Brain {
             products: charter.products.iter().map(terms).collect(),
             accounts: charter.customers.iter().map(account).collect(),
@@ -237,41 +250,22 @@
             cold_span: charter.cold_span.max(1e-3),
             calls_share,
             calls_span: charter.calls_span.max(0.1),
+            calls_top,
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
             share_for: charter.share_for,
-            retry_after: charter.retry_after.min(1.0),
+            retry_after: charter.retry_after.min(RETRY_AFTER),
             grace: charter.grace,
-            txns: Slab::with_capacity(256),
-            places: HashMap::with_capacity(256),
-            hold: Vec::with_capacity(256),
-            keys: VecDeque::new(),
-            lingering: VecDeque::new(),
             started: None,
-            next_beat: 0.0,
-            last_step: 0.0,
-            forgiven: 0.0,
-            standstill_end: f64::MIN,
             leave: None,
+            standstill_end: f64::MIN,
             limit: charter.cores,
             stretch: 1.0,
-            window: window.max(1.0),
+            window,
             window_cut: f64::MIN,
-            call_base: 0.0,
-            call_takes: 0.0,
-            calls_mean: 0.0,
-            calls_seen: 0.0,
-            rate: 0.0,
-            repeat_rate: 0.0,
-            pressure: 0.0,
             said: -1.0,
-            longest: 0.0,
-            noted: 0.0,
-            running: 0,
-            parked: 0,
-            calling: 0,
-            used: 0.0,
+            ..Brain::default()
         }
     }
 
@@ -343,6 +337,7 @@
         if let Some((_, kill)) = self.leave {
             due = due.min(kill);
         }
+        let sla = tp.sla + tp.sla_stretch * news.hint;
         let mut size = 1.0;
         if news.hint > 0.0 {
             tp.hint = learn(tp.hint, news.hint, NEW);
@@ -351,6 +346,7 @@
         let (effect, share_for) = (tp.effect, self.share_for);
         let shared = effect == Effect::Inquiry && share_for > 0.0 && news.key != 0 && !news.write;
         self.rate += 1.0 / RATE_SPAN;
+        self.unread = self.unread.max(news.unread / tp.wait);
         if news.repeat {
             self.repeat_rate += 1.0 / RATE_SPAN;
         } else if let Some(account) = self.accounts.get_mut(news.customer) {
@@ -363,6 +359,7 @@
             customer: news.customer,
             arrived,
             forgiven,
+            sla,
             due,
             ram: news.memory,
             size,
@@ -411,11 +408,14 @@
             return;
         };
         let txn = &self.txns[at];
+        if end.outcome == Outcome::Done {
+            self.finished += 1.0 / RATE_SPAN;
+        }
         if end.outcome == Outcome::Done && txn.stage != Stage::Replaying && !txn.skipped {
             let tp = &mut self.products[txn.product];
-            let whole = (now - txn.begun) / txn.size;
             let on_cores = (now - txn.begun - txn.away) / txn.size;
-            tp.takes = learn(tp.takes, whole, NEW);
+            tp.takes = learn(tp.takes, on_cores, NEW);
+            tp.away = learn(tp.away, txn.away, NEW);
             tp.base = if tp.base == 0.0 { on_cores } else { learn(tp.base, on_cores, BASE_UP) };
             self.stretch = learn(self.stretch, on_cores / tp.base, NEW);
         }
@@ -506,10 +506,9 @@
         while self.lingering.front().is_some_and(|&end| end <= now) {
             self.lingering.pop_front();
         }
-        let top = if self.calls_share > 0.0 { CALLS_TOP * self.calls_share } else { CALLS_CORE * self.cores };
-        self.window = self.window.clamp(1.0, top.max(1.0));
+        self.window = self.window.clamp(1.0, self.calls_top.max(1.0));
         let mut room = self.window - (self.calling + self.lingering.len()) as f64;
-        while room >= 1.0 && (self.calls_share == 0.0 || self.calls_mean < CALLS_TOP * self.calls_share) {
+        while room >= 1.0 && (self.calls_share == 0.0 || self.calls_mean < self.calls_top) {
             let mut next: Option<usize> = None;
             for (at, txn) in &self.txns {
                 if txn.stage == Stage::AtCall
@@ -539,12 +538,12 @@
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
-    fn judge(&self, now: f64, txn: &Hand) -> Option<usize> {
+    fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<usize> {
         let tp = &self.products[txn.product];
         let waited = now - txn.arrived;
-        let takes = tp.takes * txn.size;
-        let limit = if tp.late_pays { txn.due } else { txn.due.min(txn.arrived + tp.sla) };
-        if now + takes.max(2.0 * MARGIN) > limit {
+        // A late answer is worth something to its caller while no one else wants the slot.
+        let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
+        if now + (tp.takes * txn.size + tp.away).max(2.0 * MARGIN) > limit {
             return Some(NO_TIME);
         }
         let threshold = if txn.repeat { tp.wait_repeat } else { tp.wait };
@@ -568,7 +567,7 @@
             let Some((place, _, _)) = best else { return };
             let at = self.hold[place];
             let txn = &self.txns[at];
-            if let Some(reason) = self.judge(now, txn) {
+            if let Some(reason) = self.judge(now, txn, self.hold.len() > 1) {
                 self.decline(at, reason, out);
                 continue;
             }
@@ -602,11 +601,11 @@
         self.next_beat = now + BEAT;
         out.wake(BEAT);
         self.answer_due(now, out);
-        self.longest = 0.0;
+        self.longest = std::mem::take(&mut self.unread);
         for place in (0..self.hold.len()).rev() {
             let at = self.hold[place];
             let txn = &self.txns[at];
-            if let Some(reason) = self.judge(now, txn) {
+            if let Some(reason) = self.judge(now, txn, true) {
                 self.decline(at, reason, out);
                 self.longest = 1.0;
             } else {
@@ -622,6 +621,7 @@
         self.last_step = now;
         self.rate *= fade;
         self.repeat_rate *= fade;
+        self.finished *= fade;
         for account in &mut self.accounts {
             account.rate *= fade;
             let over = account.rate * self.servers / account.quota.max(1e-9);
@@ -658,9 +658,11 @@
             Signal::Silent => return,
             Signal::Level => 0.5 * self.pressure,
             Signal::Bias => 1.0 - 0.9 * self.pressure,
+            // What can be finished within the shortest wait, beside what runs; far more while nothing waits.
             Signal::Tokens => {
-                let loose = 8.0 * self.limit;
-                ((1.0 - self.pressure) * loose + self.pressure * self.limit) / self.callers
+                let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
+                let room = self.limit + self.finished * wait;
+                room * if self.longest < LOOSE { IDLE_ROOM } else { 1.0 } / self.callers
             }
         };
         if (amount - self.said).abs() > 1e-3 {
@@ -692,7 +694,7 @@
             let Some(txn) = self.txns.get(at) else { continue };
             let tp = &self.products[txn.product];
             let rest = 0.5 * tp.takes * txn.size;
-            if txn.stage == Stage::AtCall && !txn.answered && tp.skips && now + rest > txn.arrived + tp.sla {
+            if txn.stage == Stage::AtCall && !txn.answered && tp.skips && now + rest > txn.arrived + txn.sla {
                 self.give_up_call(at, out);
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,8 +35,9 @@
 }
 
 /// The meaning of the one free value that rides on every answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Signal {
+    #[default]
     Silent,
     /// Callers send nothing of a lower rank.
     Level,
@@ -50,6 +51,8 @@
 #[derive(Clone, Debug)]
 pub struct Product {
     pub sla: f64,
+    /// What a txn's SLA time gains for each second of its work.
+    pub sla_stretch: f64,
     pub expiry: f64,
     pub value: f64,
     /// Share of the value that an answer between SLA time and expiry still earns.
@@ -159,6 +162,7 @@
             }
             for (what, value) in [
                 ("value", p.value),
+                ("SLA stretch", p.sla_stretch),
                 ("late share", p.late_share),
                 ("window", p.window),
                 ("skip share", p.skip_share),
