--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,8 +57,15 @@
 const CALL_TRIES: u8 = 3;
 /// weight of a new sample in a learned mean: about the last twenty count.
 const NEW: f64 = 0.05;
-/// the same for a base: it drops at once to what was reached, and creeps up over some hundred samples.
+/// runs of a product over which its base is taken: some tens of seconds, longer than a trouble should count.
+const BASE_RUNS: f64 = 200.0;
+/// the same weight for the base of calls, upwards.
 const BASE_UP: f64 = 0.005;
+/// rise of run time over its base from which this server counts as slow: fleet-wide crowding at the floor of
+/// the limit, reading included, stays under it.
+const SLOW: f64 = 3.0;
+/// s for which a slow server stays off the list: its list is seconds late, a shorter absence wouldn't be seen.
+const OFF: f64 = 8.0;
 /// s over which rates of arrival are taken: a few seconds, as quotas are.
 const RATE_SPAN: f64 = 3.0;
 /// share of repeats among arrivals from which other servers count as full too.
@@ -94,6 +101,7 @@
     takes: f64,
     base: f64,
     away: f64,
+    runs: f64,
     hint: f64,
     declined: [u32; REASONS.len()],
 }
@@ -185,6 +193,9 @@
     leave: Option<(f64, f64)>,
     limit: f64,
     stretch: f64,
+    drag: f64,
+    off_since: Option<f64>,
+    list_follows: bool,
     window: f64,
     window_cut: f64,
     call_base: f64,
@@ -226,6 +237,7 @@
                 takes: 0.0,
                 base: 0.0,
                 away: 0.0,
+                runs: 0.0,
                 hint: 0.0,
                 declined: [0; REASONS.len()],
             }
@@ -257,6 +269,7 @@
             share_for: charter.share_for,
             retry_after: charter.retry_after.min(RETRY_AFTER),
             grace: charter.grace,
+            list_follows: charter.list_follows,
             started: None,
             leave: None,
             standstill_end: f64::MIN,
@@ -416,7 +429,9 @@
             let on_cores = (now - txn.begun - txn.away) / txn.size;
             tp.takes = learn(tp.takes, on_cores, NEW);
             tp.away = learn(tp.away, txn.away, NEW);
-            tp.base = if tp.base == 0.0 { on_cores } else { learn(tp.base, on_cores, BASE_UP) };
+            tp.runs += 1.0;
+            let most = if tp.runs < BASE_RUNS { f64::MAX } else { SLOW * tp.base };
+            tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
             self.stretch = learn(self.stretch, on_cores / tp.base, NEW);
         }
         if txn.stage == Stage::Calling {
@@ -543,7 +558,7 @@
         let waited = now - txn.arrived;
         // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
-        if now + (tp.takes * txn.size + tp.away).max(2.0 * MARGIN) > limit {
+        if now + (tp.takes * txn.size * self.drag.max(1.0) + tp.away).max(2.0 * MARGIN) > limit {
             return Some(NO_TIME);
         }
         let threshold = if txn.repeat { tp.wait_repeat } else { tp.wait };
@@ -629,6 +644,7 @@
         }
         self.step_limit(gauges);
         self.step_signal(out);
+        self.step_health(now, out);
         if now - self.noted > NOTE {
             self.noted = now;
             self.note(out);
@@ -748,12 +764,17 @@
             self.keys.pop_front();
         }
         (self.running, self.parked, self.calling) = (0, 0, 0);
+        let (mut age, mut usual) = (0.0, 0.0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
             match txn.stage {
                 Stage::Held => self.used += txn.ram + if txn.kept { self.key_ram } else { 0.0 },
                 Stage::Replaying => self.used += txn.ram,
-                Stage::Running => self.running += 1,
+                Stage::Running => {
+                    self.running += 1;
+                    age += now - txn.begun - txn.away;
+                    usual += self.products[txn.product].takes * txn.size;
+                }
                 Stage::AtCall => self.parked += 1,
                 Stage::Calling => {
                     self.parked += 1;
@@ -764,6 +785,30 @@
                 self.used += txn.ram * self.run_factor;
             }
         }
+        // Runs in progress are on average as old as a run takes; where they are far older the machine has
+        // slowed or hangs, which the finished ones will tell only later.
+        self.drag =
+            if 2.0 * self.running as f64 >= self.cores && usual > 0.0 { age / usual / 2.0 } else { 0.0 };
+    }
+
+    /// Guards against a slow machine where the list follows health: what is sent here waits, is read late and
+    /// goes on elsewhere too late, so the server takes itself off the list for a while and then tries again.
+    /// Judged by its own runs against their base, never by its load, or a crowded fleet would list itself out.
+    fn step_health(&mut self, now: f64, out: &mut impl Writer) {
+        let slow = self.stretch.max(self.drag) > SLOW && self.longest > LOOSE;
+        match self.off_since {
+            _ if !self.list_follows || self.leave.is_some() => {}
+            None if slow => {
+                self.off_since = Some(now);
+                out.health(false, true);
+            }
+            Some(since) if now - since > OFF => {
+                self.off_since = None;
+                self.stretch = 1.0;
+                out.health(true, true);
+            }
+            _ => {}
+        }
     }
 
     fn note(&mut self, out: &mut impl Writer) {
