--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,13 +57,17 @@
 const CALL_TRIES: u8 = 3;
 /// weight of a new sample in a learned mean: about the last twenty count.
 const NEW: f64 = 0.05;
+/// the same for the rise of run time, which has to tell a slow machine within a second: about the last ten.
+const STRETCH_NEW: f64 = 0.1;
 /// runs of a product over which its base is taken: some tens of seconds, longer than a trouble should count.
 const BASE_RUNS: f64 = 200.0;
 /// the same weight for the base of calls, upwards.
 const BASE_UP: f64 = 0.005;
 /// rise of run time over its base from which this server counts as slow: fleet-wide crowding at the floor of
 /// the limit, reading included, stays under it.
-const SLOW: f64 = 3.0;
+const SLOW: f64 = 2.5;
+/// steps in a row for which it must look slow: several completions of a crowded server.
+const SLOW_STEPS: u32 = 2;
 /// s for which a slow server stays off the list: its list is seconds late, a shorter absence wouldn't be seen.
 const OFF: f64 = 8.0;
 /// s over which rates of arrival are taken: a few seconds, as quotas are.
@@ -195,6 +199,7 @@
     stretch: f64,
     drag: f64,
     off_since: Option<f64>,
+    slow_steps: u32,
     list_follows: bool,
     window: f64,
     window_cut: f64,
@@ -432,7 +437,7 @@
             tp.runs += 1.0;
             let most = if tp.runs < BASE_RUNS { f64::MAX } else { SLOW * tp.base };
             tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
-            self.stretch = learn(self.stretch, on_cores / tp.base, NEW);
+            self.stretch = learn(self.stretch, on_cores / tp.base, STRETCH_NEW);
         }
         if txn.stage == Stage::Calling {
             self.lingering.push_back(now + self.lingers);
@@ -558,7 +563,7 @@
         let waited = now - txn.arrived;
         // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
-        if now + (tp.takes * txn.size * self.drag.max(1.0) + tp.away).max(2.0 * MARGIN) > limit {
+        if now + (tp.takes * txn.size * self.drag + tp.away).max(2.0 * MARGIN) > limit {
             return Some(NO_TIME);
         }
         let threshold = if txn.repeat { tp.wait_repeat } else { tp.wait };
@@ -643,7 +648,7 @@
             account.worth = if over <= 1.0 { 1.0 } else { (1.0 + (over - 1.0) * self.over_quota) / over };
         }
         self.step_limit(gauges);
-        self.step_signal(out);
+        self.step_signal(now, out);
         self.step_health(now, out);
         if now - self.noted > NOTE {
             self.noted = now;
@@ -664,7 +669,7 @@
         self.limit = self.limit.clamp(self.cores, CEILING * self.cores * (1.0 + self.crowd)).max(1.0);
     }
 
-    fn step_signal(&mut self, out: &mut impl Writer) {
+    fn step_signal(&mut self, now: f64, out: &mut impl Writer) {
         if self.longest > TIGHT {
             self.pressure = (self.pressure + PRESS_UP).min(1.0);
         } else if self.longest < LOOSE {
@@ -677,7 +682,8 @@
             // What can be finished within the shortest wait, beside what runs; far more while nothing waits.
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
-                let room = self.limit + self.finished * wait;
+                let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
+                let room = self.limit + self.finished / seen.max(STEP) * wait;
                 room * if self.longest < LOOSE { IDLE_ROOM } else { 1.0 } / self.callers
             }
         };
@@ -764,7 +770,7 @@
             self.keys.pop_front();
         }
         (self.running, self.parked, self.calling) = (0, 0, 0);
-        let (mut age, mut usual) = (0.0, 0.0);
+        let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
             match txn.stage {
@@ -772,8 +778,10 @@
                 Stage::Replaying => self.used += txn.ram,
                 Stage::Running => {
                     self.running += 1;
+                    let takes = self.products[txn.product].takes * txn.size;
                     age += now - txn.begun - txn.away;
-                    usual += self.products[txn.product].takes * txn.size;
+                    usual += takes;
+                    old += usize::from(takes > 0.0 && now - txn.begun - txn.away > SLOW * takes);
                 }
                 Stage::AtCall => self.parked += 1,
                 Stage::Calling => {
@@ -785,22 +793,24 @@
                 self.used += txn.ram * self.run_factor;
             }
         }
-        // Runs in progress are on average as old as a run takes; where they are far older the machine has
-        // slowed or hangs, which the finished ones will tell only later.
-        self.drag =
-            if 2.0 * self.running as f64 >= self.cores && usual > 0.0 { age / usual / 2.0 } else { 0.0 };
+        // Runs in progress are on average as old as a run takes. Where most are far older the machine has slowed
+        // or hangs, which finished runs tell only later; a few long ones that pin their slots don't count.
+        let hangs = 2 * old > self.running && self.running as f64 >= self.cores;
+        self.drag = if hangs { age / usual } else { 1.0 };
     }
 
     /// Guards against a slow machine where the list follows health: what is sent here waits, is read late and
     /// goes on elsewhere too late, so the server takes itself off the list for a while and then tries again.
     /// Judged by its own runs against their base, never by its load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
-        let slow = self.stretch.max(self.drag) > SLOW && self.longest > LOOSE;
+        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW;
+        self.slow_steps = if slow { self.slow_steps + 1 } else { 0 };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
-            None if slow => {
+            None if self.slow_steps >= SLOW_STEPS => {
                 self.off_since = Some(now);
                 out.health(false, true);
+                out.note(&format!("off the list: runs take {:.1} times their base", self.stretch.max(self.drag)));
             }
             Some(since) if now - since > OFF => {
                 self.off_since = None;
