--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,6 +57,8 @@
 const CALL_TRIES: u8 = 3;
 /// weight of a new sample in a learned mean: about the last twenty count.
 const NEW: f64 = 0.05;
+/// the same for the crowd that the gauge shows each step: half a second, as the busy gauge.
+const CROWD_NEW: f64 = 0.2;
 /// the same for the rise of run time, which has to tell a slow machine within a second: about the last ten.
 const STRETCH_NEW: f64 = 0.1;
 /// runs of a product over which its base is taken: some tens of seconds, longer than a trouble should count.
@@ -198,6 +200,7 @@
     limit: f64,
     stretch: f64,
     drag: f64,
+    crowding: f64,
     off_since: Option<f64>,
     slow_steps: u32,
     list_follows: bool,
@@ -658,10 +661,11 @@
 
     /// The gradient limit. Free cores with work held win over latency.
     fn step_limit(&mut self, gauges: &Gauges) {
+        let crowding = gauges.runnable.unwrap_or(self.running as f64) / self.cores;
+        self.crowding += CROWD_NEW * (crowding - self.crowding);
         let running = self.running as f64;
         let busy = gauges.busy.unwrap_or(if running >= self.limit { 1.0 } else { 0.0 });
-        let free = gauges.runnable.is_none_or(|r| r < self.cores);
-        if busy < FULL && free && !self.hold.is_empty() {
+        if busy < FULL && self.crowding < 1.0 && !self.hold.is_empty() {
             self.limit *= 1.0 + GROW;
         } else if busy >= FULL && self.stretch > RISE {
             self.limit *= 1.0 - SHRINK;
@@ -803,14 +807,17 @@
     /// goes on elsewhere too late, so the server takes itself off the list for a while and then tries again.
     /// Judged by its own runs against their base, never by its load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
-        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW;
+        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW * self.crowding.max(1.0);
         self.slow_steps = if slow { self.slow_steps + 1 } else { 0 };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
             None if self.slow_steps >= SLOW_STEPS => {
                 self.off_since = Some(now);
                 out.health(false, true);
-                out.note(&format!("off the list: runs take {:.1} times their base", self.stretch.max(self.drag)));
+                out.note(&format!(
+                    "off the list: runs take {:.1} times their base",
+                    self.stretch.max(self.drag)
+                ));
             }
             Some(since) if now - since > OFF => {
                 self.off_since = None;
