--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,13 +46,13 @@
 const RAM_KEYS: f64 = 0.5;
 /// share of this server's part of the dependency's bearing that the window may reach, and start with.
 const CALLS_TOP: f64 = 0.8;
-const CALLS_FROM: f64 = 0.25;
+const CALLS_FROM: f64 = 0.4;
 /// calls a core to a next tier that may be out: it decides for itself, this only bounds a stuck one.
 const CALLS_CORE: f64 = 4.0;
 /// share to which the window is cut by a failed or slow call.
 const CALLS_CUT: f64 = 0.7;
 /// rise of a call's time over its base that counts as slow.
-const CALLS_RISE: f64 = 2.5;
+const CALLS_RISE: f64 = 4.0;
 /// tries of one call, for calls that are known not to have run or may run again.
 const CALL_TRIES: u8 = 3;
 /// weight of a new sample in a learned mean: about the last twenty count.
@@ -67,7 +67,7 @@
 const BASE_UP: f64 = 0.005;
 /// rise of run time over its base from which this server counts as slow: fleet-wide crowding at the floor of
 /// the limit, reading included, stays under it.
-const SLOW: f64 = 2.5;
+const SLOW: f64 = 4.0;
 /// steps in a row for which it must look slow: several completions of a crowded server.
 const SLOW_STEPS: u32 = 2;
 /// s for which a slow server stays off the list: its list is seconds late, a shorter absence wouldn't be seen.
@@ -807,7 +807,7 @@
     /// goes on elsewhere too late, so the server takes itself off the list for a while and then tries again.
     /// Judged by its own runs against their base, never by its load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
-        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW * self.crowding.max(1.0);
+        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW;
         self.slow_steps = if slow { self.slow_steps + 1 } else { 0 };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
