--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,13 +46,13 @@
 const RAM_KEYS: f64 = 0.5;
 /// share of this server's part of the dependency's bearing that the window may reach, and start with.
 const CALLS_TOP: f64 = 0.8;
-const CALLS_FROM: f64 = 0.4;
+const CALLS_FROM: f64 = 0.25;
 /// calls a core to a next tier that may be out: it decides for itself, this only bounds a stuck one.
 const CALLS_CORE: f64 = 4.0;
 /// share to which the window is cut by a failed or slow call.
 const CALLS_CUT: f64 = 0.7;
 /// rise of a call's time over its base that counts as slow.
-const CALLS_RISE: f64 = 4.0;
+const CALLS_RISE: f64 = 2.5;
 /// tries of one call, for calls that are known not to have run or may run again.
 const CALL_TRIES: u8 = 3;
 /// weight of a new sample in a learned mean: about the last twenty count.
@@ -63,11 +63,13 @@
 const STRETCH_NEW: f64 = 0.1;
 /// runs of a product over which its base is taken: some tens of seconds, longer than a trouble should count.
 const BASE_RUNS: f64 = 200.0;
+/// runs of a product before its base says anything: the first to end are the short ones.
+const NEW_RUNS: f64 = 20.0;
 /// the same weight for the base of calls, upwards.
 const BASE_UP: f64 = 0.005;
 /// rise of run time over its base from which this server counts as slow: fleet-wide crowding at the floor of
 /// the limit, reading included, stays under it.
-const SLOW: f64 = 4.0;
+const SLOW: f64 = 6.0;
 /// steps in a row for which it must look slow: several completions of a crowded server.
 const SLOW_STEPS: u32 = 2;
 /// s for which a slow server stays off the list: its list is seconds late, a shorter absence wouldn't be seen.
@@ -438,7 +440,7 @@
             tp.takes = learn(tp.takes, on_cores, NEW);
             tp.away = learn(tp.away, txn.away, NEW);
             tp.runs += 1.0;
-            let most = if tp.runs < BASE_RUNS { f64::MAX } else { SLOW * tp.base };
+            let most = if tp.runs < NEW_RUNS { f64::MAX } else { RISE * tp.base };
             tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
             self.stretch = learn(self.stretch, on_cores / tp.base, STRETCH_NEW);
         }
@@ -566,7 +568,8 @@
         let waited = now - txn.arrived;
         // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
-        if now + (tp.takes * txn.size * self.drag + tp.away).max(2.0 * MARGIN) > limit {
+        let takes = tp.takes.max(tp.base * self.drag) * txn.size + tp.away;
+        if now + takes.max(2.0 * MARGIN) > limit {
             return Some(NO_TIME);
         }
         let threshold = if txn.repeat { tp.wait_repeat } else { tp.wait };
@@ -624,7 +627,7 @@
         self.next_beat = now + BEAT;
         out.wake(BEAT);
         self.answer_due(now, out);
-        self.longest = std::mem::take(&mut self.unread);
+        self.longest = self.longest.max(std::mem::take(&mut self.unread));
         for place in (0..self.hold.len()).rev() {
             let at = self.hold[place];
             let txn = &self.txns[at];
@@ -653,6 +656,7 @@
         self.step_limit(gauges);
         self.step_signal(now, out);
         self.step_health(now, out);
+        self.longest = 0.0;
         if now - self.noted > NOTE {
             self.noted = now;
             self.note(out);
@@ -782,10 +786,11 @@
                 Stage::Replaying => self.used += txn.ram,
                 Stage::Running => {
                     self.running += 1;
-                    let takes = self.products[txn.product].takes * txn.size;
+                    let tp = &self.products[txn.product];
+                    let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * txn.size };
                     age += now - txn.begun - txn.away;
                     usual += takes;
-                    old += usize::from(takes > 0.0 && now - txn.begun - txn.away > SLOW * takes);
+                    old += usize::from(now - txn.begun - txn.away > SLOW * takes);
                 }
                 Stage::AtCall => self.parked += 1,
                 Stage::Calling => {
@@ -807,21 +812,19 @@
     /// goes on elsewhere too late, so the server takes itself off the list for a while and then tries again.
     /// Judged by its own runs against their base, never by its load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
-        let slow = self.longest > LOOSE && self.stretch.max(self.drag) > SLOW;
+        let rise = self.stretch.max(self.drag);
+        let slow = self.longest > LOOSE && rise > SLOW;
         self.slow_steps = if slow { self.slow_steps + 1 } else { 0 };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
             None if self.slow_steps >= SLOW_STEPS => {
                 self.off_since = Some(now);
                 out.health(false, true);
-                out.note(&format!(
-                    "off the list: runs take {:.1} times their base",
-                    self.stretch.max(self.drag)
-                ));
+                let (runs, open) = (self.stretch, self.drag);
+                out.note(&format!("off the list: runs {runs:.1}, open runs {open:.1} of usual"));
             }
             Some(since) if now - since > OFF => {
                 self.off_since = None;
-                self.stretch = 1.0;
                 out.health(true, true);
             }
             _ => {}
