--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,7 +69,7 @@
 const BASE_UP: f64 = 0.005;
 /// rise of run time over its base from which this server counts as slow: fleet-wide crowding at the floor of
 /// the limit, reading included, stays under it.
-const SLOW: f64 = 6.0;
+const SLOW: f64 = 4.0;
 /// steps in a row for which it must look slow: several completions of a crowded server.
 const SLOW_STEPS: u32 = 2;
 /// s for which a slow server stays off the list: its list is seconds late, a shorter absence wouldn't be seen.
@@ -85,7 +85,7 @@
 const PRESS_UP: f64 = 0.03;
 const PRESS_DOWN: f64 = 0.015;
 /// s of Retry-After at the most: the design page's second.
-const RETRY_AFTER: f64 = 1.0;
+const RETRY_AFTER: f64 = 0.25;
 /// times the room of a server at its limit that callers may fill while nothing waits: a burst must fit.
 const IDLE_ROOM: f64 = 3.0;
 /// s between two notes.
@@ -654,7 +654,7 @@
             account.worth = if over <= 1.0 { 1.0 } else { (1.0 + (over - 1.0) * self.over_quota) / over };
         }
         self.step_limit(gauges);
-        self.step_signal(now, out);
+        self.step_signal(now, gauges.busy.unwrap_or(0.0), out);
         self.step_health(now, out);
         self.longest = 0.0;
         if now - self.noted > NOTE {
@@ -677,7 +677,7 @@
         self.limit = self.limit.clamp(self.cores, CEILING * self.cores * (1.0 + self.crowd)).max(1.0);
     }
 
-    fn step_signal(&mut self, now: f64, out: &mut impl Writer) {
+    fn step_signal(&mut self, now: f64, busy: f64, out: &mut impl Writer) {
         if self.longest > TIGHT {
             self.pressure = (self.pressure + PRESS_UP).min(1.0);
         } else if self.longest < LOOSE {
@@ -691,8 +691,9 @@
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
-                let room = self.limit + self.finished / seen.max(STEP) * wait;
-                room * if self.longest < LOOSE { IDLE_ROOM } else { 1.0 } / self.callers
+                let room = self.limit + 0.25 * self.finished / seen.max(STEP) * wait;
+                let idle = self.longest < LOOSE && busy < FULL;
+                room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
             }
         };
         if (amount - self.said).abs() > 1e-3 {
