--- a/src/brain.rs
+++ b/src/brain.rs
@@ -85,7 +85,11 @@
 const PRESS_UP: f64 = 0.03;
 const PRESS_DOWN: f64 = 0.015;
 /// s of Retry-After at the most: the design page's second.
-const RETRY_AFTER: f64 = 0.25;
+const RETRY_AFTER: f64 = 1.0;
+/// the same of a server that is full but sound: all its callers keep off at once, and it must not run dry.
+const RETRY_SOUND: f64 = 0.25;
+/// rise of run time over its base up to which a crowded server counts as sound.
+const SOUND: f64 = 2.5;
 /// times the room of a server at its limit that callers may fill while nothing waits: a burst must fit.
 const IDLE_ROOM: f64 = 3.0;
 /// s between two notes.
@@ -691,7 +695,7 @@
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
-                let room = self.limit + 0.25 * self.finished / seen.max(STEP) * wait;
+                let room = self.limit + 0.5 * self.finished / seen.max(STEP) * wait;
                 let idle = self.longest < LOOSE && busy < FULL;
                 room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
             }
@@ -753,7 +757,9 @@
         // Where further tries are frequent the others are full too: walking on would only cost reading.
         let walking = txn.repeat || self.repeat_rate > WALKING * self.rate;
         let last = reason != LEAVING && walking;
-        out.decline(txn.id, self.retry_after, last);
+        let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
+        let keep_off = if sound { self.retry_after.min(RETRY_SOUND) } else { self.retry_after };
+        out.decline(txn.id, keep_off, last);
         self.products[txn.product].declined[reason] += 1;
         self.drop_hand(at);
     }
