--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,10 +40,10 @@
 const CEILING: f64 = 0.6;
 const CEILING_ALL: f64 = 0.8;
 /// share of the memory that starts may fill, and over which the hold is cut.
-const RAM_RUN: f64 = 0.8;
-const RAM_HOLD: f64 = 0.9;
+const RAM_RUN: f64 = 0.85;
+const RAM_HOLD: f64 = 0.92;
 /// share of the memory that remembered txns may fill.
-const RAM_KEYS: f64 = 0.5;
+const RAM_KEYS: f64 = 0.7;
 /// share of this server's part of the dependency's bearing that the window may reach, and start with.
 const CALLS_TOP: f64 = 0.8;
 const CALLS_FROM: f64 = 0.25;
@@ -53,8 +53,12 @@
 const CALLS_CUT: f64 = 0.7;
 /// rise of a call's time over its base that counts as slow.
 const CALLS_RISE: f64 = 2.5;
-/// tries of one call, for calls that are known not to have run or may run again.
-const CALL_TRIES: u8 = 3;
+/// tries of a call that may be left out; one that may not is asked again until its txn is due.
+const CALL_TRIES: u8 = 2;
+/// s before a call is asked for again, doubled with each try: a full tier has finished something by then.
+const CALL_AGAIN: f64 = 0.05;
+/// share of the SLA time for which a txn waits at its call before it leaves it out.
+const CALL_WAIT: f64 = 0.25;
 /// weight of a new sample in a learned mean: about the last twenty count.
 const NEW: f64 = 0.05;
 /// the same for the crowd that the gauge shows each step: half a second, as the busy gauge.
@@ -156,6 +160,7 @@
     at_call: f64,
     away: f64,
     tries: u8,
+    ask_at: f64,
     skipped: bool,
 }
 
@@ -313,7 +318,7 @@
             if let Some(&at) = self.places.get(id) {
                 let txn = &mut self.txns[at];
                 txn.stage = Stage::AtCall;
-                (txn.at_call, txn.tries) = (now, 0);
+                (txn.at_call, txn.tries, txn.ask_at) = (now, 0, now);
             }
         }
         for end in round.ended {
@@ -398,6 +403,7 @@
             at_call: now,
             away: 0.0,
             tries: 0,
+            ask_at: now,
             skipped: false,
         });
         self.places.insert(news.id, at);
@@ -505,10 +511,11 @@
             return;
         }
         txn.stage = Stage::AtCall;
-        txn.tries += 1;
+        txn.ask_at = now + CALL_AGAIN * f64::from(1u32 << txn.tries.min(5));
+        txn.tries = txn.tries.saturating_add(1);
         let tp = &self.products[txn.product];
         let again = end.outcome.never_ran() || tp.effect == Effect::Inquiry;
-        if !txn.answered && (!again || txn.tries >= CALL_TRIES) {
+        if !txn.answered && (!again || tp.skips && txn.tries >= CALL_TRIES) {
             self.give_up_call(at, out);
         }
     }
@@ -538,16 +545,17 @@
         self.window = self.window.clamp(1.0, self.calls_top.max(1.0));
         let mut room = self.window - (self.calling + self.lingering.len()) as f64;
         while room >= 1.0 && (self.calls_share == 0.0 || self.calls_mean < self.calls_top) {
-            let mut next: Option<usize> = None;
+            let mut next: Option<(usize, f64)> = None;
             for (at, txn) in &self.txns {
-                if txn.stage == Stage::AtCall
-                    && !txn.answered
-                    && next.is_none_or(|n| txn.at_call < self.txns[n].at_call)
-                {
-                    next = Some(at);
+                if txn.stage == Stage::AtCall && !txn.answered && txn.ask_at <= now {
+                    let worth = self.worth(txn);
+                    if next.is_none_or(|(n, w)| worth > w || worth == w && txn.at_call < self.txns[n].at_call)
+                    {
+                        next = Some((at, worth));
+                    }
                 }
             }
-            let Some(at) = next else { return };
+            let Some((at, _)) = next else { return };
             let txn = &mut self.txns[at];
             out.call(txn.id, (txn.due - now - MARGIN).max(MARGIN));
             txn.stage = Stage::Calling;
@@ -724,12 +732,15 @@
                 _ => {}
             }
         }
-        // Those at a call that have waited for it until only the rest of the run fits leave it out.
+        // The same judgement at the second queue: who waited too long for a call leaves it out, where it may.
         for at in 0..self.txns.capacity() {
             let Some(txn) = self.txns.get(at) else { continue };
             let tp = &self.products[txn.product];
-            let rest = 0.5 * tp.takes * txn.size;
-            if txn.stage == Stage::AtCall && !txn.answered && tp.skips && now + rest > txn.arrived + txn.sla {
+            if txn.stage == Stage::AtCall
+                && !txn.answered
+                && tp.skips
+                && now - txn.at_call > CALL_WAIT * txn.sla
+            {
                 self.give_up_call(at, out);
             }
         }
