--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 const WAIT_LOW: f64 = 0.15;
 /// the same for further tries and copies: their caller has a plan already.
 const WAIT_REPEAT: f64 = 0.11;
+/// share of its worth at which a repeat stands in the hold: its SLA time began with a try we did not see.
+const REPEAT: f64 = 0.3;
 /// share of the dearest product's value up to which a product is of low value.
 const LOW: f64 = 0.5;
 /// share of the cores busy from which they count as full.
@@ -57,6 +59,8 @@
 const CALL_TRIES: u8 = 2;
 /// s before a call is asked for again, doubled with each try: a full tier has finished something by then.
 const CALL_AGAIN: f64 = 0.05;
+/// share of what is left of the SLA time that such a call may take.
+const CALL_LEFT: f64 = 0.5;
 /// share of the SLA time for which a txn waits at its call before it leaves it out.
 const CALL_WAIT: f64 = 0.25;
 /// weight of a new sample in a learned mean: about the last twenty count.
@@ -543,7 +547,10 @@
             self.lingering.pop_front();
         }
         self.window = self.window.clamp(1.0, self.calls_top.max(1.0));
+        // What comes back from a call goes on at once, so the crowd must bear all calls ending together.
+        let all = self.all(now);
         let mut room = self.window - (self.calling + self.lingering.len()) as f64;
+        room = room.min(all - (self.running + self.calling) as f64);
         while room >= 1.0 && (self.calls_share == 0.0 || self.calls_mean < self.calls_top) {
             let mut next: Option<(usize, f64)> = None;
             for (at, txn) in &self.txns {
@@ -557,7 +564,11 @@
             }
             let Some((at, _)) = next else { return };
             let txn = &mut self.txns[at];
-            out.call(txn.id, (txn.due - now - MARGIN).max(MARGIN));
+            let tp = &self.products[txn.product];
+            // A hung call must not hold its txn till the end: what may be left out is, with time for the rest.
+            let left = txn.arrived + txn.sla - now;
+            let limit = if tp.skips && left > 0.0 { CALL_LEFT * left } else { txn.due - now - MARGIN };
+            out.call(txn.id, limit.max(MARGIN));
             txn.stage = Stage::Calling;
             self.calling += 1;
             room -= 1.0;
@@ -571,7 +582,8 @@
         let tp = &self.products[txn.product];
         let account = self.accounts.get(txn.customer).map_or(1.0, |a| a.worth);
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * txn.size };
-        tp.value * account / work
+        let first = if txn.repeat { REPEAT } else { 1.0 };
+        tp.value * account * first / work
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
@@ -592,8 +604,8 @@
     fn start(&mut self, now: f64, out: &mut impl Writer) {
         let most = self.crowd_now(now);
         let limit = self.limit.min(CEILING * most).max(1.0).floor() as usize;
-        let all = (CEILING_ALL * most).max(1.0) as usize;
-        while self.running < limit && self.running + self.parked < all {
+        let all = self.all(now);
+        while self.running < limit && ((self.running + self.calling) as f64) < all {
             let mut best: Option<(usize, f64, f64)> = None;
             for (place, &at) in self.hold.iter().enumerate() {
                 let txn = &self.txns[at];
@@ -626,6 +638,11 @@
         }
     }
 
+    /// What may run or return from a call at any time.
+    fn all(&self, now: f64) -> f64 {
+        (CEILING_ALL * self.crowd_now(now)).max(1.0)
+    }
+
     /// Runs a core that the server survives, with the warmth it has at the least.
     fn crowd_now(&self, now: f64) -> f64 {
         let age = (now - self.started.unwrap_or(now)) / self.cold_span;
@@ -644,9 +661,9 @@
             let at = self.hold[place];
             let txn = &self.txns[at];
             if let Some(reason) = self.judge(now, txn, true) {
+                self.longest = if txn.repeat { self.longest } else { 1.0 };
                 self.decline(at, reason, out);
-                self.longest = 1.0;
-            } else {
+            } else if !txn.repeat {
                 let waited = now - txn.arrived - (self.forgiven - txn.forgiven);
                 self.longest = self.longest.max(waited / self.products[txn.product].wait);
             }
