--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -123,6 +123,8 @@
 struct Instance {
     brain: Brain,
     meters: Vec<Meter>,
+    /// How many products its charter names.
+    products: usize,
     news: News,
 }
 
@@ -226,7 +228,7 @@
             let (charter, meters) = charter::read(fields.take(len)?)?;
             let brain = Brain::new(&charter, seed);
             let news = News { touched: true, ..News::default() };
-            self.instances.insert(id, Instance { brain, meters, news });
+            self.instances.insert(id, Instance { brain, meters, products: charter.products.len(), news });
             self.order.push(id);
             return Ok(());
         }
@@ -243,7 +245,16 @@
             self.order.push(id);
         }
         match code {
-            20 => news.arrived.push(submit(fields)?),
+            20 => {
+                let txn = submit(fields)?;
+                if txn.product >= instance.products {
+                    return Err(format!(
+                        "txn {} names product {}, which the start text lacks",
+                        txn.id, txn.product
+                    ));
+                }
+                news.arrived.push(txn);
+            }
             30 => {
                 news.ended.push(End { id: fields.u32()?, outcome: fields.outcome()?, took: fields.span()? })
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,9 +4,10 @@
 //! A txn is *settled* when it is served, *declined* when it is turned away undone, *voided* when it fails.
 
 /// What may happen to a txn that comes again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May run any number of times.
+    #[default]
     Inquiry,
     /// Carries a mark by which a repeat is known; must not run twice within its window.
     Referenced,
@@ -182,7 +183,7 @@
 }
 
 /// A txn that was read and now waits in the hold.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Txn {
     pub id: u32,
     /// Place in `Charter::products`.
