--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,7 +55,7 @@
 const PRESS_UP: f64 = 0.03; // pressure gained a step: full in three seconds, callers need one to hear
 const PRESS_DOWN: f64 = 0.015; // pressure lost a step: half as fast, or it swings
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
-const RETRY_SOUND: f64 = 0.25; // s of a full but sound server: all callers keep off at once
+const RETRY_SOUND: f64 = 0.25; // least share of it; a sound server asks for the share that it declines of late
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
 const NOTE: f64 = 10.0; // s between notes
 
@@ -167,6 +167,7 @@
     last_round: f64,
     finished: f64,
     repeats: f64,
+    declining: f64,
     pressure: f64,
     said: f64,
     longest: f64,
@@ -483,6 +484,7 @@
                 self.keys.push_back(now + self.products[txn.news.product].window.max(self.share_for));
             }
             (self.used, self.running) = (self.used + more, self.running + 1);
+            self.declining -= NEW * self.declining;
             out.run(txn.news.id);
         }
     }
@@ -611,11 +613,12 @@
     /// Turns a held txn away, which never ran here, with advice to keep off.
     fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
+        self.declining += NEW * (1.0 - self.declining);
         // Where further tries are frequent the others are full too: walking on would only cost reading.
         let walking = txn.news.repeat || self.repeats > WALKING;
         let last = reason != "leaving" && walking;
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
-        let keep_off = if sound { self.retry_after.min(RETRY_SOUND) } else { self.retry_after };
+        let keep_off = self.retry_after * if sound { self.declining.max(RETRY_SOUND) } else { 1.0 };
         out.decline(txn.news.id, keep_off, last);
         match self.sheds.iter_mut().find(|s| (s.0, s.1) == (txn.news.product, reason)) {
             Some(shed) => shed.2 += 1,
