--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,7 +55,7 @@
 const PRESS_UP: f64 = 0.03; // pressure gained a step: full in three seconds, callers need one to hear
 const PRESS_DOWN: f64 = 0.015; // pressure lost a step: half as fast, or it swings
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
-const RETRY_SOUND: f64 = 0.25; // least share of it; a sound server asks for the share that it declines of late
+const RETRY_SOUND: f64 = 0.25; // mean share of it drawn by a sound server: callers neither leave nor return all at once
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
 const NOTE: f64 = 10.0; // s between notes
 
@@ -167,7 +167,7 @@
     last_round: f64,
     finished: f64,
     repeats: f64,
-    declining: f64,
+    chance: u64,
     pressure: f64,
     said: f64,
     longest: f64,
@@ -180,8 +180,8 @@
 }
 
 impl Brain {
-    /// A brain for a process that has just come up. The seed is kept for draws; there are none so far.
-    pub fn new(charter: &Charter, _seed: u64) -> Brain {
+    /// A brain for a process that has just come up.
+    pub fn new(charter: &Charter, seed: u64) -> Brain {
         let dearest = charter.products.iter().map(|p| p.value).fold(0.0, f64::max);
         let terms = |p: &Product| {
             let share = if p.value <= LOW * dearest { WAIT_LOW } else { WAIT };
@@ -230,6 +230,7 @@
             window,
             window_cut: f64::MIN,
             said: -1.0,
+            chance: seed >> 1 | 1,
             ..Brain::default()
         }
     }
@@ -484,7 +485,6 @@
                 self.keys.push_back(now + self.products[txn.news.product].window.max(self.share_for));
             }
             (self.used, self.running) = (self.used + more, self.running + 1);
-            self.declining -= NEW * self.declining;
             out.run(txn.news.id);
         }
     }
@@ -613,12 +613,11 @@
     /// Turns a held txn away, which never ran here, with advice to keep off.
     fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
-        self.declining += NEW * (1.0 - self.declining);
         // Where further tries are frequent the others are full too: walking on would only cost reading.
         let walking = txn.news.repeat || self.repeats > WALKING;
         let last = reason != "leaving" && walking;
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
-        let keep_off = self.retry_after * if sound { self.declining.max(RETRY_SOUND) } else { 1.0 };
+        let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         out.decline(txn.news.id, keep_off, last);
         match self.sheds.iter_mut().find(|s| (s.0, s.1) == (txn.news.product, reason)) {
             Some(shed) => shed.2 += 1,
@@ -626,6 +625,12 @@
         }
     }
 
+    /// Chance from 0 to under 1: multiply with carry, from the wire's seed.
+    fn draw(&mut self) -> f64 {
+        self.chance = 0xffff_da61 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
+        (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+
     /// Takes a txn out of hand; one that never ran leaves no key behind.
     fn drop_hand(&mut self, at: usize, out: &mut impl Writer) -> Hand {
         let txn = self.txns.remove(at);
