--- a/src/brain.rs
+++ b/src/brain.rs
@@ -135,6 +135,7 @@
     cold_span: f64,
     calls_span: f64,
     calls_top: f64,
+    calls_least: f64,
     lingers: f64,
     halts: bool,
     signal: Signal,
@@ -217,6 +218,7 @@
             cold_span: charter.cold_span.max(1e-3),
             calls_span: charter.calls_span.max(0.1),
             calls_top,
+            calls_least: if common { 1.0 } else { charter.cores },
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
@@ -418,7 +420,7 @@
         while self.lingering.front().is_some_and(|&end| end <= now) {
             self.lingering.pop_front();
         }
-        self.window = self.window.clamp(1.0, self.calls_top.max(1.0));
+        self.window = self.window.clamp(self.calls_least, self.calls_top.max(1.0));
         // What comes back from a call goes on at once, so the crowd must bear all calls ending together.
         let mut room = self.window - (self.calling + self.lingering.len()) as f64;
         room = room.min(CEILING_ALL * self.crowd_now(now) - (self.running + self.calling) as f64);
@@ -429,10 +431,12 @@
             let Some((at, _)) = ranked.max_by(|a, b| order(a.1, b.1)) else { return };
             let txn = &mut self.txns[at];
             let tp = &self.products[txn.news.product];
-            // A hung call must not hold its txn till the end: it is left out, where it may, in good time.
-            let left = txn.arrived + txn.sla - now;
-            let limit = if tp.skips && left > 0.0 { CALL_LEFT * left } else { txn.due - now - MARGIN };
-            out.call(txn.news.id, limit.max(MARGIN));
+            // A hung call must hold neither its txn till the end nor its place in the window: it is left out in
+            // good time, where it may, and given up with its SLA time, where late pays nothing.
+            let sla_left = txn.arrived + txn.sla - now;
+            let part = if tp.skips { CALL_LEFT * sla_left } else { sla_left.max(CALL_LEFT * txn.sla) };
+            let limit = if tp.late_pays && !tp.skips { f64::MAX } else { part };
+            out.call(txn.news.id, limit.min(txn.due - now - MARGIN).max(MARGIN));
             txn.stage = Stage::Calling;
             (self.calling, room) = (self.calling + 1, room - 1.0);
         }
