--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,8 +18,10 @@
 const MARGIN: f64 = 0.05; // s before its due time at which an answer is forced: two beats and a round
 const STANDSTILL: f64 = 0.1; // s that a beat may be late before all stood still: beats apart, under any wait
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
-const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
+const WAIT_LOW: f64 = 0.15; // the same for low value: tighter, yet over a tenth, so that it queues first
 const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their SLA time is mostly gone
+const SLACK: f64 = 0.5; // share of the SLA time beside the run that may be waited at most
+const SLACK_LOW: f64 = 0.4; // the same for low value
 const REPEAT: f64 = 0.3; // share of its worth at which a repeat is held: its SLA time began unseen
 const LOW: f64 = 0.5; // share of the dearest product's value up to which a product is of low value
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
@@ -71,6 +73,7 @@
     skips: bool,
     value: f64,
     wait: f64,
+    slack: f64,
     /// s that a run of mean size takes outside its calls, of late, and at its best; s at its calls.
     takes: f64,
     base: f64,
@@ -185,7 +188,8 @@
     pub fn new(charter: &Charter, seed: u64) -> Brain {
         let dearest = charter.products.iter().map(|p| p.value).fold(0.0, f64::max);
         let terms = |p: &Product| {
-            let share = if p.value <= LOW * dearest { WAIT_LOW } else { WAIT };
+            let low = p.value <= LOW * dearest;
+            let share = if low { WAIT_LOW } else { WAIT };
             Terms {
                 expiry: p.expiry,
                 sla: p.sla,
@@ -196,6 +200,7 @@
                 skips: p.skip_share > 0.0,
                 value: p.value,
                 wait: share * p.expiry,
+                slack: if low { SLACK_LOW } else { SLACK },
                 ..Terms::default()
             }
         };
@@ -460,7 +465,8 @@
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
         }
-        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait };
+        let slack = tp.slack * (txn.sla - takes);
+        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait.min(slack) };
         (now - self.forgiven - txn.since > threshold).then_some("waited")
     }
 
