--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,11 +18,10 @@
 const MARGIN: f64 = 0.05; // s before its due time at which an answer is forced: two beats and a round
 const STANDSTILL: f64 = 0.1; // s that a beat may be late before all stood still: beats apart, under any wait
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
-const WAIT_LOW: f64 = 0.15; // the same for low value: tighter, yet over a tenth, so that it queues first
+const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
 const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their SLA time is mostly gone
-const SLACK: f64 = 0.5; // share of the SLA time beside the run that may be waited at most
-const SLACK_LOW: f64 = 0.4; // the same for low value
 const REPEAT: f64 = 0.3; // share of its worth at which a repeat is held: its SLA time began unseen
+const STARVED: f64 = 3.0; // rise of a product's worth as all its first tries are declined
 const LOW: f64 = 0.5; // share of the dearest product's value up to which a product is of low value
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
 const RISE: f64 = 1.3; // rise of run time over base that the limit bears: reading beside runs makes as much
@@ -73,12 +72,13 @@
     skips: bool,
     value: f64,
     wait: f64,
-    slack: f64,
     /// s that a run of mean size takes outside its calls, of late, and at its best; s at its calls.
     takes: f64,
     base: f64,
     away: f64,
     runs: f64,
+    /// Share of its first tries declined of late.
+    starved: f64,
     hint: f64,
 }
 
@@ -188,8 +188,7 @@
     pub fn new(charter: &Charter, seed: u64) -> Brain {
         let dearest = charter.products.iter().map(|p| p.value).fold(0.0, f64::max);
         let terms = |p: &Product| {
-            let low = p.value <= LOW * dearest;
-            let share = if low { WAIT_LOW } else { WAIT };
+            let share = if p.value <= LOW * dearest { WAIT_LOW } else { WAIT };
             Terms {
                 expiry: p.expiry,
                 sla: p.sla,
@@ -200,7 +199,6 @@
                 skips: p.skip_share > 0.0,
                 value: p.value,
                 wait: share * p.expiry,
-                slack: if low { SLACK_LOW } else { SLACK },
                 ..Terms::default()
             }
         };
@@ -453,7 +451,7 @@
         let account = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.worth);
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * txn.size };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
-        tp.value * account * first / work
+        tp.value * (1.0 + STARVED * tp.starved) * account * first / work
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
@@ -465,8 +463,7 @@
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
         }
-        let slack = tp.slack * (txn.sla - takes);
-        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait.min(slack) };
+        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait };
         (now - self.forgiven - txn.since > threshold).then_some("waited")
     }
 
@@ -495,6 +492,8 @@
                 self.keys.push_back(now + self.products[txn.news.product].window.max(self.share_for));
             }
             (self.used, self.running) = (self.used + more, self.running + 1);
+            let starved = &mut self.products[txn.news.product].starved;
+            *starved -= NEW * *starved;
             out.run(txn.news.id);
         }
     }
@@ -623,6 +622,8 @@
     /// Turns a held txn away, which never ran here, with advice to keep off.
     fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
+        let starved = &mut self.products[txn.news.product].starved;
+        *starved += if txn.news.repeat { 0.0 } else { NEW * (1.0 - *starved) };
         // Where further tries are frequent the others are full too: walking on would only cost reading.
         let walking = txn.news.repeat || self.repeats > WALKING;
         let last = reason != "leaving" && walking;
