--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! `brain.round(&round, &mut writer)` once a round with all that came in; the decisions go straight into the
 //! writer. The types are in `interface.rs`; `docs/design.md` tells where the mechanism comes from.
 //! A txn is stamped with its arrival (unread time counted) and held until a run slot frees. Then its wait is
-//! judged against its product's threshold, and it runs or is declined. The rest of the file guards the rules.
+//! judged against its product's threshold, and it runs or is declined. The rest guards the rules.
 
 use crate::interface::*;
 use slab::Slab;
@@ -19,9 +19,8 @@
 const STANDSTILL: f64 = 0.1; // s that a beat may be late before all stood still: beats apart, under any wait
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
 const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
-const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their SLA time is mostly gone
+const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their time is mostly gone
 const REPEAT: f64 = 0.3; // share of its worth at which a repeat is held: its SLA time began unseen
-const STARVED: f64 = 3.0; // rise of a product's worth as all its first tries are declined
 const LOW: f64 = 0.5; // share of the dearest product's value up to which a product is of low value
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
 const RISE: f64 = 1.3; // rise of run time over base that the limit bears: reading beside runs makes as much
@@ -38,7 +37,7 @@
 const CALLS_CUT: f64 = 0.7; // share to which a failed or slow call cuts the window: a usual step
 const CALLS_RISE: f64 = 2.5; // rise of a call's time over its base that counts as slow: past mere chance
 const CALL_TRIES: u8 = 2; // tries of a call that may be left out; others are asked until due
-const CALL_AGAIN: f64 = 0.05; // s before a call is asked again, doubled each try: a full tier has moved on
+const CALL_AGAIN: f64 = 0.025; // s before a call is asked again, doubled each try: a full tier has moved on
 const CALL_LEFT: f64 = 0.5; // share of the SLA time left that a call which may be left out gets
 const CALL_WAIT: f64 = 0.25; // share of the SLA time to wait for a call before it is left out
 const NEW: f64 = 0.05; // weight of a new sample in a learned mean: about the last twenty count
@@ -55,8 +54,9 @@
 const LOOSE: f64 = 0.3; // the same under which it is loosened
 const PRESS_UP: f64 = 0.03; // pressure gained a step: full in three seconds, callers need one to hear
 const PRESS_DOWN: f64 = 0.015; // pressure lost a step: half as fast, or it swings
+const BIAS_CUT: f64 = 0.9; // share of its callers that a full server may have pass it over: some must test it
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
-const RETRY_SOUND: f64 = 0.25; // mean share of it drawn by a sound server: callers neither leave nor return all at once
+const RETRY_SOUND: f64 = 0.25; // mean share drawn by a sound server: callers neither go nor return together
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
 const NOTE: f64 = 10.0; // s between notes
 
@@ -77,8 +77,6 @@
     base: f64,
     away: f64,
     runs: f64,
-    /// Share of its first tries declined of late.
-    starved: f64,
     hint: f64,
 }
 
@@ -142,6 +140,7 @@
     lingers: f64,
     halts: bool,
     signal: Signal,
+    level_top: f64,
     share_for: f64,
     retry_after: f64,
     grace: f64,
@@ -186,7 +185,10 @@
 impl Brain {
     /// A brain for a process that has just come up.
     pub fn new(charter: &Charter, seed: u64) -> Brain {
-        let dearest = charter.products.iter().map(|p| p.value).fold(0.0, f64::max);
+        let mut bands: Vec<f64> = charter.products.iter().map(|p| p.value).collect();
+        bands.sort_by(f64::total_cmp);
+        bands.dedup();
+        let dearest = bands[bands.len() - 1];
         let terms = |p: &Product| {
             let share = if p.value <= LOW * dearest { WAIT_LOW } else { WAIT };
             Terms {
@@ -225,16 +227,14 @@
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
+            level_top: 1.0 - 1.0 / bands.len() as f64,
             share_for: charter.share_for,
             retry_after: charter.retry_after.min(RETRY_AFTER),
             grace: charter.grace,
             list_follows: charter.list_follows,
-            standstill_end: f64::MIN,
             limit: charter.cores,
             stretch: 1.0,
             window,
-            window_cut: f64::MIN,
-            said: -1.0,
             chance: seed >> 1 | 1,
             ..Brain::default()
         }
@@ -250,8 +250,7 @@
             out.wake(BEAT);
         }
         // Guards against a standstill of the process: all waits swell without a queue, and the hold would go.
-        // The time is taken off the waits; who has no time left is declined all the same. Harm: a
-        // longer hold is borne for a while.
+        // The time is taken off the waits; who has none left goes all the same. Harm: a longer hold.
         if round.wake.is_some() && now - self.next_beat > STANDSTILL {
             self.forgiven += now - self.next_beat;
             self.standstill_end = now;
@@ -329,13 +328,8 @@
     }
 
     fn ended(&mut self, now: f64, end: &End, out: &mut impl Writer) {
-        let Some(&at) = self.places.get(&end.id) else {
-            return;
-        };
+        let Some(at) = self.find(end.id).filter(|&at| self.txns[at].stage != Stage::Held) else { return };
         let txn = &self.txns[at];
-        if txn.stage == Stage::Held {
-            return;
-        }
         if end.outcome == Outcome::Done {
             self.finished += 1.0 / RATE_SPAN;
         }
@@ -355,7 +349,7 @@
     }
 
     fn gone(&mut self, id: u32, out: &mut impl Writer) {
-        let Some(&at) = self.places.get(&id) else { return };
+        let Some(at) = self.find(id) else { return };
         let txn = &mut self.txns[at];
         txn.answered = true;
         let inquiry = self.products[txn.news.product].effect == Effect::Inquiry;
@@ -369,13 +363,8 @@
 
     /// The end of a call. What can't have run may be asked again; an inquiry may always be.
     fn returned(&mut self, now: f64, end: &End, out: &mut impl Writer) {
-        let Some(&at) = self.places.get(&end.id) else {
-            return;
-        };
+        let Some(at) = self.find(end.id).filter(|&at| self.txns[at].stage == Stage::Calling) else { return };
         let txn = &mut self.txns[at];
-        if txn.stage != Stage::Calling {
-            return;
-        }
         let done = end.outcome == Outcome::Done;
         if done {
             let weight = if end.took < self.call_base { NEW } else { 1.0 / BASE_RUNS };
@@ -384,8 +373,10 @@
             let tp = &mut self.products[txn.news.product];
             tp.away = learn(tp.away, now - txn.at_call, NEW);
             (txn.begun, txn.stage) = (txn.begun + now - txn.at_call, Stage::Running);
-        } else if end.outcome == Outcome::TimedOut {
-            self.lingering.push_back(now + self.lingers);
+        } else {
+            self.lingering.push_back(now + if end.outcome == Outcome::TimedOut { self.lingers } else { 0.0 });
+            (txn.stage, txn.tries) = (Stage::AtCall, txn.tries.saturating_add(1));
+            txn.ask_at = now + CALL_AGAIN * f64::from(1u32 << txn.tries.min(5));
         }
         if done && self.call_takes <= CALLS_RISE * self.call_base {
             self.window += 1.0 / self.window;
@@ -393,15 +384,9 @@
             // Once for each turn of the window, or one trouble would be counted by every call in it.
             (self.window, self.window_cut) = (CALLS_CUT * self.window, now);
         }
-        if done {
-            return;
-        }
-        txn.stage = Stage::AtCall;
-        txn.ask_at = now + CALL_AGAIN * f64::from(1u32 << txn.tries.min(5));
-        txn.tries = txn.tries.saturating_add(1);
         let tp = &self.products[txn.news.product];
         let again = end.outcome.never_ran() || tp.effect == Effect::Inquiry;
-        if !txn.answered && (!again || tp.skips && txn.tries >= CALL_TRIES) {
+        if !done && !txn.answered && (!again || tp.skips && txn.tries >= CALL_TRIES) {
             self.give_up_call(now, at, out);
         }
     }
@@ -434,11 +419,10 @@
             let Some((at, _)) = ranked.max_by(|a, b| order(a.1, b.1)) else { return };
             let txn = &mut self.txns[at];
             let tp = &self.products[txn.news.product];
-            // A hung call must hold neither its txn till the end nor its place in the window: it is left out in
-            // good time, where it may, and given up with its SLA time, where late pays nothing.
-            let sla_left = txn.arrived + txn.sla - now;
-            let part = if tp.skips { CALL_LEFT * sla_left } else { sla_left.max(CALL_LEFT * txn.sla) };
-            let limit = if tp.late_pays && !tp.skips { f64::MAX } else { part };
+            // A hung call must hold neither its txn till the end nor its place in the window: it is left out
+            // in good time, where it may, else given up with its SLA time.
+            let left = txn.arrived + txn.sla - now;
+            let limit = if tp.skips { CALL_LEFT * left } else { left.max(CALL_LEFT * txn.sla) };
             out.call(txn.news.id, limit.min(txn.due - now - MARGIN).max(MARGIN));
             txn.stage = Stage::Calling;
             (self.calling, room) = (self.calling + 1, room - 1.0);
@@ -451,7 +435,7 @@
         let account = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.worth);
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * txn.size };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
-        tp.value * (1.0 + STARVED * tp.starved) * account * first / work
+        tp.value * account * first / work
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
@@ -492,8 +476,6 @@
                 self.keys.push_back(now + self.products[txn.news.product].window.max(self.share_for));
             }
             (self.used, self.running) = (self.used + more, self.running + 1);
-            let starved = &mut self.products[txn.news.product].starved;
-            *starved -= NEW * *starved;
             out.run(txn.news.id);
         }
     }
@@ -566,8 +548,8 @@
         }
         let amount = match self.signal {
             Signal::Silent => return,
-            Signal::Level => 0.5 * self.pressure,
-            Signal::Bias => 1.0 - 0.9 * self.pressure,
+            Signal::Level => self.level_top * self.pressure,
+            Signal::Bias => 1.0 - BIAS_CUT * self.pressure,
             // What can be finished within the shortest wait, beside what runs; far more while nothing waits.
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
@@ -622,8 +604,6 @@
     /// Turns a held txn away, which never ran here, with advice to keep off.
     fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
-        let starved = &mut self.products[txn.news.product].starved;
-        *starved += if txn.news.repeat { 0.0 } else { NEW * (1.0 - *starved) };
         // Where further tries are frequent the others are full too: walking on would only cost reading.
         let walking = txn.news.repeat || self.repeats > WALKING;
         let last = reason != "leaving" && walking;
@@ -642,7 +622,11 @@
         (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
     }
 
-    /// Takes a txn out of hand; one that never ran leaves no key behind.
+    fn find(&self, id: u32) -> Option<usize> {
+        self.places.get(&id).copied()
+    }
+
+    /// One that never ran leaves no key behind.
     fn drop_hand(&mut self, at: usize, out: &mut impl Writer) -> Hand {
         let txn = self.txns.remove(at);
         self.places.remove(&txn.news.id);
