--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,8 @@
 const CEILING_ALL: f64 = 0.8; // the same for all that runs or may return from a call at any time
 const RAM_RUN: f64 = 0.85; // share of the memory up to which runs start: leaves room for what arrives
 const RAM_HOLD: f64 = 0.92; // share of the memory over which the hold is cut: a batch still fits above
-const RAM_KEYS: f64 = 0.7; // share of the memory for remembered txns: the rest still runs a core or two
+const RAM_SHARED: f64 = 0.5; // share up to which answers are remembered for others: a gain, never a duty
+const RAM_KEYS: f64 = 0.75; // share in use up to which txns are remembered: a few runs still fit above
 const CALLS_TOP: f64 = 0.8; // share of the dependency's bearing, as told, that the window may reach
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
 const CALLS_CORE: f64 = 4.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
@@ -108,7 +109,8 @@
     due: f64,
     /// Guessed work over its product's mean.
     size: f64,
-    kept: bool,
+    /// Until when its key is remembered.
+    kept: Option<f64>,
     stage: Stage,
     /// The answer is out, or nobody waits for it; the run goes on to its end.
     answered: bool,
@@ -314,11 +316,12 @@
             return self.decline(at, "leaving", out);
         }
         if effect == Effect::Referenced || shared {
-            if self.key_ram * (self.keys.len() as f64 + 1.0) <= RAM_KEYS * self.ram {
+            if self.used + self.key_ram <= if shared { RAM_SHARED } else { RAM_KEYS } * self.ram {
                 let tp = &self.products[product];
                 let span = if shared { tp.expiry + share_for } else { tp.window };
-                out.remember(news.id, (span - news.unread).max(MARGIN) + MARGIN);
-                self.txns[at].kept = true;
+                let span = (span - news.unread).max(MARGIN) + MARGIN;
+                out.remember(news.id, span);
+                self.txns[at].kept = Some(now + span);
                 self.used += self.key_ram;
             } else if !shared {
                 // Without the memory of its key a repeat could run: it must not run here at all.
@@ -472,9 +475,7 @@
             self.hold.swap_remove(place);
             let txn = &mut self.txns[at];
             (txn.stage, txn.begun) = (Stage::Running, now);
-            if txn.kept {
-                self.keys.push_back(now + self.products[txn.news.product].window.max(self.share_for));
-            }
+            self.keys.extend(txn.kept);
             (self.used, self.running) = (self.used + more, self.running + 1);
             out.run(txn.news.id);
         }
@@ -631,9 +632,9 @@
         let txn = self.txns.remove(at);
         self.places.remove(&txn.news.id);
         if txn.stage == Stage::Held {
-            self.used -= txn.news.memory + if txn.kept { self.key_ram } else { 0.0 };
+            self.used -= txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 };
             self.hold.retain(|&held| held != at);
-            if txn.kept {
+            if txn.kept.is_some() {
                 out.forget(txn.news.id);
             }
         }
@@ -654,7 +655,9 @@
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
             match txn.stage {
-                Stage::Held => self.used += txn.news.memory + if txn.kept { self.key_ram } else { 0.0 },
+                Stage::Held => {
+                    self.used += txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 }
+                }
                 Stage::Replaying => self.used += txn.news.memory,
                 Stage::Running => {
                     self.running += 1;
