--- a/src/brain.rs
+++ b/src/brain.rs
@@ -146,7 +146,7 @@
     share_for: f64,
     retry_after: f64,
     grace: f64,
-    // from here on state; above, derived at start
+
     txns: Slab<Hand>,
     places: HashMap<u32, usize>,
     hold: Vec<usize>,
