--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const RAM_RUN: f64 = 0.85; // share of the memory up to which runs start: leaves room for what arrives
 const RAM_HOLD: f64 = 0.92; // share of the memory over which the hold is cut: a batch still fits above
 const RAM_SHARED: f64 = 0.5; // share up to which answers are remembered for others: a gain, never a duty
-const RAM_KEYS: f64 = 0.75; // share in use up to which txns are remembered: a few runs still fit above
+const RAM_KEYS: f64 = 0.7; // share that remembered txns may fill: a few runs still fit beside them
 const CALLS_TOP: f64 = 0.8; // share of the dependency's bearing, as told, that the window may reach
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
 const CALLS_CORE: f64 = 4.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
@@ -316,7 +316,9 @@
             return self.decline(at, "leaving", out);
         }
         if effect == Effect::Referenced || shared {
-            if self.used + self.key_ram <= if shared { RAM_SHARED } else { RAM_KEYS } * self.ram {
+            let keys = (self.keys.len() + 1) as f64 * self.key_ram;
+            let room = if shared { RAM_SHARED } else { RAM_HOLD } * self.ram - self.used;
+            if self.key_ram <= room && keys <= RAM_KEYS * self.ram {
                 let tp = &self.products[product];
                 let span = if shared { tp.expiry + share_for } else { tp.window };
                 let span = (span - news.unread).max(MARGIN) + MARGIN;
