--- a/src/brain.rs
+++ b/src/brain.rs
@@ -225,7 +225,7 @@
             cold_span: charter.cold_span.max(1e-3),
             calls_span: charter.calls_span.max(0.1),
             calls_top,
-            calls_least: if common { 1.0 } else { charter.cores },
+            calls_least: if common { 1.0 } else { 2.0 * charter.cores },
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
@@ -385,7 +385,7 @@
         }
         if done && self.call_takes <= CALLS_RISE * self.call_base {
             self.window += 1.0 / self.window;
-        } else if now - self.window_cut > self.call_takes {
+        } else if end.outcome != Outcome::Failed && now - self.window_cut > self.call_takes {
             // Once for each turn of the window, or one trouble would be counted by every call in it.
             (self.window, self.window_cut) = (CALLS_CUT * self.window, now);
         }
