--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,7 +34,8 @@
 const RAM_KEYS: f64 = 0.7; // share that remembered txns may fill: a few runs still fit beside them
 const CALLS_TOP: f64 = 0.8; // share of the dependency's bearing, as told, that the window may reach
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
-const CALLS_CORE: f64 = 4.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
+const CALLS_CORE: f64 = 8.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
+const CALLS_LEAST: f64 = 0.5; // share of them always allowed: hung calls must not close the way to sound servers
 const CALLS_CUT: f64 = 0.7; // share to which a failed or slow call cuts the window: a usual step
 const CALLS_RISE: f64 = 2.5; // rise of a call's time over its base that counts as slow: past mere chance
 const CALL_TRIES: u8 = 2; // tries of a call that may be left out; others are asked until due
@@ -225,7 +226,7 @@
             cold_span: charter.cold_span.max(1e-3),
             calls_span: charter.calls_span.max(0.1),
             calls_top,
-            calls_least: if common { 1.0 } else { 2.0 * charter.cores },
+            calls_least: if common { 1.0 } else { CALLS_LEAST * calls_top },
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
