--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,10 +35,9 @@
 const CALLS_TOP: f64 = 0.8; // share of the dependency's bearing, as told, that the window may reach
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
 const CALLS_CORE: f64 = 8.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
-const CALLS_LEAST: f64 = 0.5; // share of them always allowed: hung calls must not close the way to sound servers
+const CALLS_LEAST: f64 = 0.5; // share of them always open: hung calls must not close the way to sound servers
 const CALLS_CUT: f64 = 0.7; // share to which a failed or slow call cuts the window: a usual step
 const CALLS_RISE: f64 = 2.5; // rise of a call's time over its base that counts as slow: past mere chance
-const CALL_TRIES: u8 = 2; // tries of a call that may be left out; others are asked until due
 const CALL_AGAIN: f64 = 0.025; // s before a call is asked again, doubled each try: a full tier has moved on
 const CALL_LEFT: f64 = 0.5; // share of the SLA time left that a call which may be left out gets
 const CALL_WAIT: f64 = 0.25; // share of the SLA time to wait for a call before it is left out
@@ -115,8 +114,7 @@
     stage: Stage,
     /// The answer is out, or nobody waits for it; the run goes on to its end.
     answered: bool,
-    /// Its start, moved on by the time it spent at calls.
-    begun: f64,
+    begun: f64, // moved on by the time it spent at calls
     at_call: f64,
     tries: u8,
     ask_at: f64,
@@ -381,8 +379,8 @@
             (txn.begun, txn.stage) = (txn.begun + now - txn.at_call, Stage::Running);
         } else {
             self.lingering.push_back(now + if end.outcome == Outcome::TimedOut { self.lingers } else { 0.0 });
-            (txn.stage, txn.tries) = (Stage::AtCall, txn.tries.saturating_add(1));
-            txn.ask_at = now + CALL_AGAIN * f64::from(1u32 << txn.tries.min(5));
+            (txn.stage, txn.tries) = (Stage::AtCall, (txn.tries + 1).min(6));
+            txn.ask_at = now + CALL_AGAIN * f64::from(1 << txn.tries);
         }
         if done && self.call_takes <= CALLS_RISE * self.call_base {
             self.window += 1.0 / self.window;
@@ -392,7 +390,7 @@
         }
         let tp = &self.products[txn.news.product];
         let again = end.outcome.never_ran() || tp.effect == Effect::Inquiry;
-        if !done && !txn.answered && (!again || tp.skips && txn.tries >= CALL_TRIES) {
+        if !done && !txn.answered && (tp.skips || !again) {
             self.give_up_call(now, at, out);
         }
     }
@@ -524,11 +522,11 @@
         self.longest = 0.0;
         if now - self.noted > NOTE {
             self.noted = now;
-            let text: String = self.sheds.iter().map(|(p, r, n)| format!(" product {p} {r} {n},")).collect();
+            let text: String =
+                self.sheds.drain(..).map(|(p, r, n)| format!(" product {p} {r} {n},")).collect();
             if !text.is_empty() {
                 out.note(&format!("declined:{text} limit {:.1}, calls {:.1}", self.limit, self.window));
             }
-            self.sheds.clear();
         }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -192,8 +192,7 @@
     host.arrive(&[txn(1, 0)]);
     assert_eq!(host.at_call(1), ["call 1 2.000"]);
     host.pass(2.0);
-    host.returned(1, Outcome::TimedOut, 2.0);
-    assert_eq!(host.pass(0.02), ["skip 1"]);
+    assert_eq!(host.returned(1, Outcome::TimedOut, 2.0), ["skip 1"]);
 }
 
 #[test]
