--- a/src/brain.rs
+++ b/src/brain.rs
@@ -178,7 +178,6 @@
     noted: f64,
     sheds: Vec<(usize, &'static str, u32)>,
     running: usize,
-    parked: usize,
     calling: usize,
     used: f64,
 }
@@ -470,7 +469,7 @@
                 continue;
             }
             let more = txn.news.memory * (self.run_factor - 1.0);
-            if self.used + more > RAM_RUN * self.ram && self.running + self.parked > 0 {
+            if self.used + more > RAM_RUN * self.ram && self.running + self.calling > 0 {
                 return;
             }
             self.hold.swap_remove(place);
@@ -651,7 +650,7 @@
         while self.keys.front().is_some_and(|&end| end < now) {
             self.keys.pop_front();
         }
-        (self.running, self.parked, self.calling) = (0, 0, 0);
+        (self.running, self.calling) = (0, 0);
         let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
@@ -668,8 +667,8 @@
                     usual += takes;
                     old += usize::from(now - txn.begun > SLOW * takes);
                 }
-                Stage::AtCall => self.parked += 1,
-                Stage::Calling => (self.parked, self.calling) = (self.parked + 1, self.calling + 1),
+                Stage::AtCall => {}
+                Stage::Calling => self.calling += 1,
             }
             if matches!(txn.stage, Stage::Running | Stage::AtCall | Stage::Calling) {
                 self.used += txn.news.memory * self.run_factor;
