Hints are trusted as far as they told the times of runs so far

Also covers stale and lying hints, and work that does not scale with its hint, such as waits for disk. Could harm where the mix of hints changes faster than fifty runs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,6 +20,7 @@
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
 const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
 const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their time is mostly gone
+const HINT_NEW: f64 = 0.02; // weight of a run in what hints are worth: some fifty, a few seconds
 const REPEAT: f64 = 0.3; // share of its worth at which a repeat is held: its SLA time began unseen
 const LOW: f64 = 0.5; // share of the dearest product's value up to which a product is of low value
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
@@ -173,6 +174,8 @@
     repeats: f64,
     chance: u64,
     pressure: f64,
+    hints_told: f64,
+    hints_seen: f64,
     said: f64,
     longest: f64,
     noted: f64,
@@ -234,6 +237,8 @@
             list_follows: charter.list_follows,
             limit: charter.cores,
             stretch: 1.0,
+            hints_told: 1.0,
+            hints_seen: 1.0,
             window,
             chance: seed >> 1 | 1,
             ..Brain::default()
@@ -337,8 +342,15 @@
             self.finished += 1.0 / RATE_SPAN;
         }
         if end.outcome == Outcome::Done && txn.stage == Stage::Running && !txn.skipped {
+            let weight = self.weight(txn);
             let tp = &mut self.products[txn.news.product];
-            let on_cores = (now - txn.begun) / txn.size;
+            let (hint, span) = (txn.size - 1.0, now - txn.begun);
+            if tp.runs > NEW_RUNS && hint != 0.0 {
+                let told = (span / tp.takes - 1.0).clamp(-1.0, 2.0 * txn.size);
+                self.hints_told += HINT_NEW * (hint * told - self.hints_told);
+                self.hints_seen += HINT_NEW * (hint * hint - self.hints_seen);
+            }
+            let on_cores = span / weight;
             tp.takes = learn(tp.takes, on_cores, NEW);
             tp.runs += 1.0;
             let most = if tp.runs < NEW_RUNS { f64::MAX } else { RISE * tp.base };
@@ -432,11 +444,18 @@
         }
     }
 
+    /// Expected work over the product's mean: the hint, as far as hints have told the times of runs so far.
+    /// Guards against stale or lying hints, by which large txns would be given up for want of time.
+    fn weight(&self, txn: &Hand) -> f64 {
+        let trust = (self.hints_told / self.hints_seen).clamp(0.0, 1.0);
+        (1.0 + trust * (txn.size - 1.0)).max(MARGIN)
+    }
+
     /// Value of a held txn for each unit of work, which orders the hold.
     fn worth(&self, txn: &Hand) -> f64 {
         let tp = &self.products[txn.news.product];
         let account = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.worth);
-        let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * txn.size };
+        let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * self.weight(txn) };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
         tp.value * account * first / work
     }
@@ -446,7 +465,7 @@
         let tp = &self.products[txn.news.product];
         // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
-        let takes = tp.takes.max(tp.base * self.drag) * txn.size + tp.away;
+        let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
         }
@@ -662,7 +681,7 @@
                 Stage::Running => {
                     self.running += 1;
                     let tp = &self.products[txn.news.product];
-                    let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * txn.size };
+                    let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * self.weight(txn) };
                     age += now - txn.begun;
                     usual += takes;
                     old += usize::from(now - txn.begun > SLOW * takes);
