--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,6 @@
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
 const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
 const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their time is mostly gone
-const HINT_NEW: f64 = 0.02; // weight of a run in what hints are worth: some fifty, a few seconds
 const REPEAT: f64 = 0.3; // share of its worth at which a repeat is held: its SLA time began unseen
 const LOW: f64 = 0.5; // share of the dearest product's value up to which a product is of low value
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
@@ -47,7 +46,6 @@
 const BASE_RUNS: f64 = 200.0; // runs over which a base is taken: longer than a trouble should count
 const NEW_RUNS: f64 = 20.0; // runs before a base says anything: the first to end are the short ones
 const SLOW: f64 = 4.0; // rise of run time from which the machine is slow: crowding alone stays under it
-const SLOW_STEPS: u32 = 2; // steps in a row for which it must look so: one may be chance
 const SOUND: f64 = 2.5; // rise of run time up to which a crowded machine counts as sound
 const OFF: f64 = 8.0; // s off the list for a slow machine: the list is seconds late, less isn't seen
 const RATE_SPAN: f64 = 3.0; // s over which rates are taken: some tens of txns, as fast as quotas act
@@ -59,6 +57,7 @@
 const BIAS_CUT: f64 = 0.9; // share of its callers that a full server may have pass it over: some must test it
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
 const RETRY_SOUND: f64 = 0.25; // mean share drawn by a sound server: callers neither go nor return together
+const TOKEN_WAIT: f64 = 0.5; // share of the shortest wait for whose work tokens are given: the rest is unread
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
 const NOTE: f64 = 10.0; // s between notes
 
@@ -68,7 +67,6 @@
     expiry: f64,
     sla: f64,
     sla_stretch: f64,
-    late_pays: bool,
     effect: Effect,
     window: f64,
     skips: bool,
@@ -101,21 +99,16 @@
 /// A txn in hand.
 #[derive(Default)]
 struct Hand {
-    /// What was told of it when it was read.
-    news: Txn,
+    news: Txn, // as it was read
     arrived: f64,
-    /// Its arrival on a clock that stands still while the whole process does.
-    since: f64,
+    since: f64, // its arrival on a clock that stands still while the whole process does
     sla: f64,
     due: f64,
-    /// Guessed work over its product's mean.
-    size: f64,
-    /// Until when its key is remembered.
-    kept: Option<f64>,
+    size: f64,         // its hint over its product's mean
+    kept: Option<f64>, // until when its key is remembered
     stage: Stage,
-    /// The answer is out, or nobody waits for it; the run goes on to its end.
-    answered: bool,
-    begun: f64, // moved on by the time it spent at calls
+    answered: bool, // the answer is out, or nobody waits for it; the run goes on to its end
+    begun: f64,     // moved on by the time it spent at calls
     at_call: f64,
     tries: u8,
     ask_at: f64,
@@ -162,7 +155,6 @@
     stretch: f64,
     drag: f64,
     off_since: Option<f64>,
-    slow_steps: u32,
     list_follows: bool,
     window: f64,
     window_cut: f64,
@@ -198,7 +190,6 @@
                 expiry: p.expiry,
                 sla: p.sla,
                 sla_stretch: p.sla_stretch,
-                late_pays: p.late_share > 0.0,
                 effect: p.effect,
                 window: p.window,
                 skips: p.skip_share > 0.0,
@@ -237,8 +228,6 @@
             list_follows: charter.list_follows,
             limit: charter.cores,
             stretch: 1.0,
-            hints_told: 1.0,
-            hints_seen: 1.0,
             window,
             chance: seed >> 1 | 1,
             ..Brain::default()
@@ -336,20 +325,18 @@
     }
 
     fn ended(&mut self, now: f64, end: &End, out: &mut impl Writer) {
-        let Some(at) = self.find(end.id).filter(|&at| self.txns[at].stage != Stage::Held) else { return };
+        let Some(&at) = self.places.get(&end.id).filter(|a| self.txns[**a].stage != Stage::Held) else {
+            return;
+        };
         let txn = &self.txns[at];
-        if end.outcome == Outcome::Done {
-            self.finished += 1.0 / RATE_SPAN;
-        }
+        self.finished += 1.0 / RATE_SPAN;
         if end.outcome == Outcome::Done && txn.stage == Stage::Running && !txn.skipped {
             let weight = self.weight(txn);
             let tp = &mut self.products[txn.news.product];
             let (hint, span) = (txn.size - 1.0, now - txn.begun);
-            if tp.runs > NEW_RUNS && hint != 0.0 {
-                let told = (span / tp.takes - 1.0).clamp(-1.0, 2.0 * txn.size);
-                self.hints_told += HINT_NEW * (hint * told - self.hints_told);
-                self.hints_seen += HINT_NEW * (hint * hint - self.hints_seen);
-            }
+            let told = (span / tp.takes).min(3.0 * txn.size) - 1.0;
+            self.hints_told += NEW * (hint * told - self.hints_told);
+            self.hints_seen += NEW * (hint * hint - self.hints_seen);
             let on_cores = span / weight;
             tp.takes = learn(tp.takes, on_cores, NEW);
             tp.runs += 1.0;
@@ -364,7 +351,7 @@
     }
 
     fn gone(&mut self, id: u32, out: &mut impl Writer) {
-        let Some(at) = self.find(id) else { return };
+        let Some(&at) = self.places.get(&id) else { return };
         let txn = &mut self.txns[at];
         txn.answered = true;
         let inquiry = self.products[txn.news.product].effect == Effect::Inquiry;
@@ -378,7 +365,9 @@
 
     /// The end of a call. What can't have run may be asked again; an inquiry may always be.
     fn returned(&mut self, now: f64, end: &End, out: &mut impl Writer) {
-        let Some(at) = self.find(end.id).filter(|&at| self.txns[at].stage == Stage::Calling) else { return };
+        let Some(&at) = self.places.get(&end.id).filter(|a| self.txns[**a].stage == Stage::Calling) else {
+            return;
+        };
         let txn = &mut self.txns[at];
         let done = end.outcome == Outcome::Done;
         if done {
@@ -396,8 +385,7 @@
         if done && self.call_takes <= CALLS_RISE * self.call_base {
             self.window += 1.0 / self.window;
         } else if end.outcome != Outcome::Failed && now - self.window_cut > self.call_takes {
-            // Once for each turn of the window, or one trouble would be counted by every call in it.
-            (self.window, self.window_cut) = (CALLS_CUT * self.window, now);
+            (self.window, self.window_cut) = (CALLS_CUT * self.window, now); // once for each turn of calls
         }
         let tp = &self.products[txn.news.product];
         let again = end.outcome.never_ran() || tp.effect == Effect::Inquiry;
@@ -444,10 +432,10 @@
         }
     }
 
-    /// Expected work over the product's mean: the hint, as far as hints have told the times of runs so far.
-    /// Guards against stale or lying hints, by which large txns would be given up for want of time.
+    /// Expected work over the product's mean. Guards against stale or lying hints: large txns would be
+    /// given up for want of time: a hint counts as far as hints have told the times of runs so far.
     fn weight(&self, txn: &Hand) -> f64 {
-        let trust = (self.hints_told / self.hints_seen).clamp(0.0, 1.0);
+        let trust = ((self.hints_told + NEW) / (self.hints_seen + NEW)).clamp(0.0, 1.0);
         (1.0 + trust * (txn.size - 1.0)).max(MARGIN)
     }
 
@@ -464,7 +452,7 @@
     fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
         let tp = &self.products[txn.news.product];
         // A late answer is worth something to its caller while no one else wants the slot.
-        let limit = if tp.late_pays || !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
+        let limit = if !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
         let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
@@ -550,8 +538,7 @@
 
     /// The gradient limit. Free cores with work held win over latency.
     fn step_limit(&mut self, gauges: &Gauges) {
-        let running = self.running as f64;
-        let busy = gauges.busy.unwrap_or(if running >= self.limit { 1.0 } else { 0.0 });
+        let busy = gauges.busy.unwrap_or(self.running as f64 / self.limit);
         if busy < FULL && gauges.runnable.is_none_or(|r| r < self.cores) && !self.hold.is_empty() {
             self.limit *= 1.0 + GROW;
         } else if busy >= FULL && self.stretch > RISE {
@@ -574,7 +561,7 @@
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
-                let room = self.limit + 0.5 * self.finished / seen.max(STEP) * wait;
+                let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
                 let idle = self.longest < LOOSE && busy < FULL;
                 room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
             }
@@ -614,9 +601,8 @@
     /// Keeps held memory under the machine's, lowest worth first.
     fn cut_hold(&mut self, out: &mut impl Writer) {
         while self.used > RAM_HOLD * self.ram {
-            let rank = |at: usize| (self.worth(&self.txns[at]), -self.txns[at].arrived);
-            let worst = self.hold.iter().copied().min_by(|&a, &b| order(rank(a), rank(b)));
-            let Some(at) = worst else { return };
+            let rank = |at: &usize| (self.worth(&self.txns[*at]), -self.txns[*at].arrived);
+            let Some(&at) = self.hold.iter().min_by(|a, b| order(rank(a), rank(b))) else { return };
             self.decline(at, "memory", out);
         }
     }
@@ -625,8 +611,7 @@
     fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
         // Where further tries are frequent the others are full too: walking on would only cost reading.
-        let walking = txn.news.repeat || self.repeats > WALKING;
-        let last = reason != "leaving" && walking;
+        let last = reason != "leaving" && (txn.news.repeat || self.repeats > WALKING);
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         out.decline(txn.news.id, keep_off, last);
@@ -642,10 +627,6 @@
         (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
     }
 
-    fn find(&self, id: u32) -> Option<usize> {
-        self.places.get(&id).copied()
-    }
-
     /// One that never ran leaves no key behind.
     fn drop_hand(&mut self, at: usize, out: &mut impl Writer) -> Hand {
         let txn = self.txns.remove(at);
@@ -705,10 +686,9 @@
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
         let rise = self.stretch.max(self.drag);
         let slow = self.longest > LOOSE && rise > SLOW;
-        self.slow_steps = if slow { self.slow_steps + 1 } else { 0 };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
-            None if self.slow_steps >= SLOW_STEPS => {
+            None if slow => {
                 self.off_since = Some(now);
                 out.health(false, true);
                 out.note(&format!("off the list: runs take {rise:.1} times their base"));
