--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,7 @@
 const BASE_RUNS: f64 = 200.0; // runs over which a base is taken: longer than a trouble should count
 const NEW_RUNS: f64 = 20.0; // runs before a base says anything: the first to end are the short ones
 const SLOW: f64 = 4.0; // rise of run time from which the machine is slow: crowding alone stays under it
+const SLOW_FOR: f64 = 0.15; // s for which it must look so: over one step, which may be chance
 const SOUND: f64 = 2.5; // rise of run time up to which a crowded machine counts as sound
 const OFF: f64 = 8.0; // s off the list for a slow machine: the list is seconds late, less isn't seen
 const RATE_SPAN: f64 = 3.0; // s over which rates are taken: some tens of txns, as fast as quotas act
@@ -155,6 +156,7 @@
     stretch: f64,
     drag: f64,
     off_since: Option<f64>,
+    sound_at: f64,
     list_follows: bool,
     window: f64,
     window_cut: f64,
@@ -240,6 +242,7 @@
         if self.started.is_none() {
             self.started = Some(now);
             (self.noted, self.last_round, self.last_step, self.next_beat) = (now, now, now, now + BEAT);
+            self.sound_at = now;
             out.health(true, true);
             out.wake(BEAT);
         }
@@ -344,9 +347,7 @@
             tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
             self.stretch = learn(self.stretch, on_cores / tp.base, STRETCH_NEW);
         }
-        if txn.stage == Stage::Calling {
-            self.lingering.push_back(now + self.lingers);
-        }
+        self.lingering.extend((txn.stage == Stage::Calling).then_some(now + self.lingers));
         self.drop_hand(at, out);
     }
 
@@ -685,10 +686,10 @@
     /// by load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
         let rise = self.stretch.max(self.drag);
-        let slow = self.longest > LOOSE && rise > SLOW;
+        self.sound_at = if rise < SLOW || self.longest < LOOSE { now } else { self.sound_at };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
-            None if slow => {
+            None if now - self.sound_at > SLOW_FOR => {
                 self.off_since = Some(now);
                 out.health(false, true);
                 out.note(&format!("off the list: runs take {rise:.1} times their base"));
