--- a/src/brain.rs
+++ b/src/brain.rs
@@ -154,7 +154,6 @@
     leave: Option<(f64, f64)>,
     limit: f64,
     stretch: f64,
-    full: bool,
     drag: f64,
     off_since: Option<f64>,
     sound_at: f64,
@@ -451,10 +450,10 @@
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
-    fn judge(&self, now: f64, txn: &Hand) -> Option<&'static str> {
+    fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
         let tp = &self.products[txn.news.product];
-        // A late answer is worth something to its caller while cores stand free.
-        let limit = if !self.full { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
+        // A late answer is worth something to its caller while no one else wants the slot.
+        let limit = if !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
         let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
@@ -473,7 +472,7 @@
             let Some((place, _)) = best else { return };
             let at = self.hold[place];
             let txn = &self.txns[at];
-            if let Some(reason) = self.judge(now, txn) {
+            if let Some(reason) = self.judge(now, txn, self.hold.len() > 1) {
                 self.decline(at, reason, out);
                 continue;
             }
@@ -508,7 +507,7 @@
                 let waited = now - self.forgiven - txn.since;
                 self.longest = self.longest.max(waited / self.products[txn.news.product].wait);
             }
-            if let Some(reason) = self.judge(now, txn) {
+            if let Some(reason) = self.judge(now, txn, true) {
                 self.decline(at, reason, out);
             }
         }
@@ -525,7 +524,7 @@
             account.worth = if over <= 1.0 { 1.0 } else { (1.0 + (over - 1.0) * self.over_quota) / over };
         }
         self.step_limit(gauges);
-        self.step_signal(now, out);
+        self.step_signal(now, gauges.busy.unwrap_or(0.0), out);
         self.step_health(now, out);
         self.longest = 0.0;
         if now - self.noted > NOTE {
@@ -541,16 +540,15 @@
     /// The gradient limit. Free cores with work held win over latency.
     fn step_limit(&mut self, gauges: &Gauges) {
         let busy = gauges.busy.unwrap_or(self.running as f64 / self.limit);
-        self.full = busy >= FULL;
-        if !self.full && gauges.runnable.is_none_or(|r| r < self.cores) && !self.hold.is_empty() {
+        if busy < FULL && gauges.runnable.is_none_or(|r| r < self.cores) && !self.hold.is_empty() {
             self.limit *= 1.0 + GROW;
-        } else if self.full && self.stretch > RISE {
+        } else if busy >= FULL && self.stretch > RISE {
             self.limit *= 1.0 - SHRINK;
         }
         self.limit = self.limit.clamp(self.cores, CEILING * self.cores * (1.0 + self.crowd)).max(1.0);
     }
 
-    fn step_signal(&mut self, now: f64, out: &mut impl Writer) {
+    fn step_signal(&mut self, now: f64, busy: f64, out: &mut impl Writer) {
         if self.longest > TIGHT {
             self.pressure = (self.pressure + PRESS_UP).min(1.0);
         } else if self.longest < LOOSE {
@@ -565,7 +563,7 @@
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
                 let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
-                let idle = self.longest < LOOSE && !self.full;
+                let idle = self.longest < LOOSE && busy < FULL;
                 room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
             }
         };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -166,6 +166,33 @@
     assert_eq!(host.count("call"), 4);
 }
 
+#[test]
+fn rule_4_a_share_under_one_call_is_kept_as_a_mean() {
+    let mut host = Host::new(&Charter { calls_share: 0.25, ..charter() });
+    let mut open = 0.0;
+    for id in 1..200 {
+        host.arrive(&[txn(id, 2)]);
+        host.at_call(id);
+        let before = host.count("call");
+        host.pass(0.1);
+        open += if before > id as usize - 1 { 0.1 } else { 0.0 };
+        host.returned(id, Outcome::Done, 0.1);
+        host.done(id);
+    }
+    assert!(host.count("call") > 10 && open < 0.3 * 19.9, "{} {open}", host.count("call"));
+}
+
+#[test]
+fn rule_4_the_crowd_bears_all_calls_returning_at_once() {
+    let mut host = Host::new(&Charter { below: Below::NextTier, ..charter() });
+    for id in 1..=30 {
+        host.arrive(&[txn(id, 2)]);
+        host.at_call(id);
+        host.returned(id, Outcome::Full, 0.01);
+    }
+    assert_eq!(count(&host.pass(1.0), "call"), 8); // of the ten that two cores survive
+}
+
 #[test]
 fn rule_4_memory_is_cut_from_the_hold_lowest_worth_first() {
     let mut host = full(&charter());
@@ -195,6 +222,32 @@
     assert_eq!(host.returned(1, Outcome::TimedOut, 2.0), ["skip 1"]);
 }
 
+#[test]
+fn calls_that_hang_or_fail_keep_the_way_to_a_next_tier_open() {
+    let mut host = Host::new(&Charter { below: Below::NextTier, cores: 20.0, ..charter() });
+    let ids: Vec<u32> = (1..=20).collect();
+    host.arrive(&ids.iter().map(|&id| txn(id, 0)).collect::<Vec<_>>());
+    for &id in &ids {
+        host.at_call(id);
+        host.returned(id, Outcome::TimedOut, 0.0);
+        host.pass(0.02);
+    }
+    assert_eq!((host.count("call"), host.count("skip")), (20, 20));
+}
+
+#[test]
+fn lying_hints_lose_their_say() {
+    // Every run takes a second, whatever its hint: after some, a large hint declines nobody for want of time.
+    let mut host = full(&charter());
+    for id in 3..60 {
+        host.arrive(&[Txn { hint: [0.2, 1.8][id as usize % 2], ..txn(id, 0) }]);
+        host.pass(0.5);
+        host.done(id - 2);
+    }
+    host.arrive(&[Txn { hint: 8.0, ..txn(99, 0) }]);
+    assert_eq!(count(&host.done(58), "run 99"), 1);
+}
+
 #[test]
 fn txns_that_wait_for_a_call_leave_the_cores_to_others() {
     let mut host = Host::new(&Charter { calls_share: 1.0, ..charter() });
