Count the crowd's room and a held txn's memory in one place each

Three copies of the bound on runs and open calls and two of a held txn's memory became one function each; a start value that the first step overwrites is gone.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -242,7 +242,6 @@
         if self.started.is_none() {
             self.started = Some(now);
             (self.noted, self.last_round, self.last_step, self.next_beat) = (now, now, now, now + BEAT);
-            self.sound_at = now;
             out.health(true, true);
             out.wake(BEAT);
         }
@@ -413,9 +412,7 @@
             self.lingering.pop_front();
         }
         self.window = self.window.clamp(self.calls_least, self.calls_top.max(1.0));
-        // What comes back from a call goes on at once, so the crowd must bear all calls ending together.
-        let mut room = self.window - (self.calling + self.lingering.len()) as f64;
-        room = room.min(CEILING_ALL * self.crowd_now(now) - (self.running + self.calling) as f64);
+        let mut room = (self.window - (self.calling + self.lingering.len()) as f64).min(self.room(now));
         while room >= 1.0 && self.calls_mean < self.calls_top {
             let ready = |t: &Hand| t.stage == Stage::AtCall && !t.answered && t.ask_at <= now;
             let waiting = self.txns.iter().filter(|(_, t)| ready(t));
@@ -433,8 +430,8 @@
         }
     }
 
-    /// Expected work over the product's mean. Guards against stale or lying hints: large txns would be
-    /// given up for want of time: a hint counts as far as hints have told the times of runs so far.
+    /// Expected work over the product's mean. Guards against stale or lying hints, by which large txns would
+    /// be given up: a hint counts as far as hints have told the times of runs so far.
     fn weight(&self, txn: &Hand) -> f64 {
         let trust = ((self.hints_told + NEW) / (self.hints_seen + NEW)).clamp(0.0, 1.0);
         (1.0 + trust * (txn.size - 1.0)).max(MARGIN)
@@ -464,9 +461,8 @@
 
     /// Gives freed slots to the best of those who have not waited too long.
     fn start(&mut self, now: f64, out: &mut impl Writer) {
-        let most = self.crowd_now(now);
-        let limit = self.limit.min(CEILING * most).max(1.0).floor() as usize;
-        while self.running < limit && ((self.running + self.calling) as f64) < CEILING_ALL * most {
+        let limit = self.limit.min(CEILING * self.crowd_now(now)).max(1.0).floor() as usize;
+        while self.running < limit && self.room(now) > 0.0 {
             let rank = |at: &usize| (self.worth(&self.txns[*at]), -self.txns[*at].arrived);
             let best = self.hold.iter().map(rank).enumerate().rev().max_by(|a, b| order(a.1, b.1));
             let Some((place, _)) = best else { return };
@@ -489,6 +485,11 @@
         }
     }
 
+    /// How many more may run or call: what returns goes on at once, so the crowd must bear all calls ending.
+    fn room(&self, now: f64) -> f64 {
+        CEILING_ALL * self.crowd_now(now) - (self.running + self.calling) as f64
+    }
+
     /// The crowd that the server survives, with the warmth it has at the least.
     fn crowd_now(&self, now: f64) -> f64 {
         let age = (now - self.started.unwrap_or(now)) / self.cold_span;
@@ -591,8 +592,7 @@
             }
             // The same judgement at the second queue: who waited too long for a call leaves it out.
             let waited = txn.stage == Stage::AtCall && now - txn.at_call > CALL_WAIT * txn.sla;
-            let room = ((self.running + self.calling) as f64) < CEILING_ALL * self.crowd_now(now);
-            if waited && room && self.products[self.txns[at].news.product].skips {
+            if waited && self.room(now) > 0.0 && self.products[self.txns[at].news.product].skips {
                 self.running += 1;
                 self.give_up_call(now, at, out);
             }
@@ -633,7 +633,7 @@
         let txn = self.txns.remove(at);
         self.places.remove(&txn.news.id);
         if txn.stage == Stage::Held {
-            self.used -= txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 };
+            self.used -= self.held_ram(&txn);
             self.hold.retain(|&held| held != at);
             if txn.kept.is_some() {
                 out.forget(txn.news.id);
@@ -642,6 +642,10 @@
         txn
     }
 
+    fn held_ram(&self, txn: &Hand) -> f64 {
+        txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 }
+    }
+
     /// Counts what runs, what stands at calls and the memory in use.
     fn census(&mut self, now: f64) {
         let in_hands = (self.calling + self.lingering.len()) as f64;
@@ -656,9 +660,7 @@
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
             match txn.stage {
-                Stage::Held => {
-                    self.used += txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 }
-                }
+                Stage::Held => self.used += self.held_ram(txn),
                 Stage::Replaying => self.used += txn.news.memory,
                 Stage::Running => {
                     self.running += 1;
