--- a/crates/drill/src/charter.rs
+++ b/crates/drill/src/charter.rs
@@ -143,6 +143,7 @@
         fall_span: rules.span("Fall")?,
         grace: rules.span_or_none("StopSendingWithin")?,
         retry_after,
+        idle: info.span_or_none("Idle")?,
         period: top.span_or_none("Period")?,
     };
     charter.check()?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use slab::Slab;
 use std::cmp::Ordering;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 // ---- constants, each with its unit and the reason for its size ----
 
@@ -30,7 +30,6 @@
 const CEILING_ALL: f64 = 0.8; // the same for all that runs or may return from a call at any time
 const RAM_RUN: f64 = 0.85; // share of the memory up to which runs start: leaves room for what arrives
 const RAM_HOLD: f64 = 0.92; // share of the memory over which the hold is cut: a batch still fits above
-const RAM_SHARED: f64 = 0.5; // share up to which answers are remembered for others: a gain, never a duty
 const RAM_KEYS: f64 = 0.7; // share that remembered txns may fill: a few runs still fit beside them
 const CALLS_TOP: f64 = 0.8; // share of the dependency's bearing, as told, that the window may reach
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
@@ -51,15 +50,17 @@
 const OFF: f64 = 8.0; // s off the list for a slow machine: the list is seconds late, less isn't seen
 const RATE_SPAN: f64 = 3.0; // s over which rates are taken: some tens of txns, as fast as quotas act
 const WALKING: f64 = 0.1; // share of repeats among arrivals from which the others count as full too
-const TIGHT: f64 = 0.6; // share of its threshold waited from which the signal is tightened
-const LOOSE: f64 = 0.3; // the same under which it is loosened
-const PRESS_UP: f64 = 0.03; // pressure gained a step: full in three seconds, callers need one to hear
-const PRESS_DOWN: f64 = 0.015; // pressure lost a step: half as fast, or it swings
+const TIGHT: f64 = 0.6; // share of its threshold waited from which the signal tightens; under half it loosens
+const PRESS: f64 = 0.03; // pressure gained a step, full in three seconds: callers hear late; half is lost
 const BIAS_CUT: f64 = 0.9; // share of its callers that a full server may have pass it over: some must test it
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
 const RETRY_SOUND: f64 = 0.25; // mean share drawn by a sound server: callers neither go nor return together
 const TOKEN_WAIT: f64 = 0.5; // share of the shortest wait for whose work tokens are given: the rest is unread
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
+const SOCKETS: f64 = 1.0; // open connections for each txn of the crowd survived: no more are ever at work
+const KEEP_STEP: f64 = 0.1; // share by which the idle time moves a step: a tenfold change takes two seconds
+const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
+const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -84,7 +85,6 @@
 struct Account {
     quota: f64,
     rate: f64,
-    worth: f64,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -137,10 +137,12 @@
     halts: bool,
     signal: Signal,
     level_top: f64,
-    share_for: f64,
     retry_after: f64,
     grace: f64,
+    idle: f64,
+    sockets: f64,
 
+    keep: f64,
     txns: Slab<Hand>,
     places: HashMap<u32, usize>,
     hold: Vec<usize>,
@@ -168,12 +170,14 @@
     repeats: f64,
     chance: u64,
     pressure: f64,
+    patience: f64,
+    going: f64,
     hints_told: f64,
     hints_seen: f64,
     said: f64,
     longest: f64,
     noted: f64,
-    sheds: Vec<(usize, &'static str, u32)>,
+    sheds: BTreeMap<(usize, &'static str), u32>,
     running: usize,
     calling: usize,
     used: f64,
@@ -200,7 +204,7 @@
                 ..Terms::default()
             }
         };
-        let account = |c: &Customer| Account { quota: c.quota / charter.servers, rate: 0.0, worth: 1.0 };
+        let account = |c: &Customer| Account { quota: c.quota / charter.servers, rate: 0.0 };
         let common = charter.below == Below::Common;
         let calls_top = if common { CALLS_TOP * charter.calls_share } else { CALLS_CORE * charter.cores };
         let window = if common { CALLS_FROM * charter.calls_share } else { calls_top };
@@ -224,9 +228,11 @@
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
             level_top: 1.0 - 1.0 / bands.len() as f64,
-            share_for: charter.share_for,
             retry_after: charter.retry_after.min(RETRY_AFTER),
             grace: charter.grace,
+            idle: charter.idle,
+            sockets: SOCKETS * charter.cores * charter.fall_multiple,
+            keep: charter.idle,
             list_follows: charter.list_follows,
             limit: charter.cores,
             stretch: 1.0,
@@ -258,7 +264,7 @@
             (txn.at_call, txn.tries, txn.ask_at) = (now, 0, now);
         }
         round.ended.iter().for_each(|end| self.ended(now, end, out));
-        round.gone.iter().for_each(|id| self.gone(*id, out));
+        round.gone.iter().for_each(|id| self.gone(now, *id, out));
         if let Some(kill) = round.leave {
             self.leave = Some((now + self.grace, kill - MARGIN));
             out.health(false, true);
@@ -287,8 +293,7 @@
             tp.hint = learn(tp.hint, news.hint, NEW);
             size = news.hint / tp.hint;
         }
-        let (effect, share_for) = (tp.effect, self.share_for);
-        let shared = effect == Effect::Inquiry && share_for > 0.0 && news.key != 0 && !news.write;
+        let referenced = tp.effect == Effect::Referenced;
         self.repeats += NEW * (f64::from(u8::from(news.repeat)) - self.repeats);
         self.longest = self.longest.max(news.unread / tp.wait);
         if let Some(account) = self.accounts.get_mut(news.customer).filter(|_| !news.repeat) {
@@ -300,7 +305,7 @@
         self.places.insert(news.id, at);
         self.used += news.memory;
         // A repeat of a txn that is in hand or has run gets that one's result, never a run of its own.
-        if news.forerunner != 0 && (effect == Effect::Referenced || shared) {
+        if news.forerunner != 0 && referenced {
             self.txns[at].stage = Stage::Replaying;
             out.replay(news.id);
             return;
@@ -309,20 +314,16 @@
         if self.leave.is_some_and(|(last, _)| arrived > last - MARGIN) {
             return self.decline(at, "leaving", out);
         }
-        if effect == Effect::Referenced || shared {
-            let keys = (self.keys.len() + 1) as f64 * self.key_ram;
-            let room = if shared { RAM_SHARED } else { RAM_HOLD } * self.ram - self.used;
-            if self.key_ram <= room && keys <= RAM_KEYS * self.ram {
-                let tp = &self.products[product];
-                let span = if shared { tp.expiry + share_for } else { tp.window };
-                let span = (span - news.unread).max(MARGIN) + MARGIN;
-                out.remember(news.id, span);
-                self.txns[at].kept = Some(now + span);
-                self.used += self.key_ram;
-            } else if !shared {
-                // Without the memory of its key a repeat could run: it must not run here at all.
-                self.decline(at, "no key room", out);
-            }
+        let keys = (self.keys.len() + 1) as f64 * self.key_ram;
+        let room = self.used + self.key_ram <= RAM_HOLD * self.ram && keys <= RAM_KEYS * self.ram;
+        if referenced && room {
+            let span = (self.products[product].window - news.unread).max(MARGIN) + MARGIN;
+            out.remember(news.id, span);
+            self.txns[at].kept = Some(now + span);
+            self.used += self.key_ram;
+        } else if referenced {
+            // Without the memory of its key a repeat could run: it must not run here at all.
+            self.decline(at, "no key room", out);
         }
     }
 
@@ -332,6 +333,9 @@
         };
         let txn = &self.txns[at];
         self.finished += 1.0 / RATE_SPAN;
+        if !txn.answered && now - txn.arrived > self.patience {
+            self.going -= GOING_NEW * self.going;
+        }
         if end.outcome == Outcome::Done && txn.stage == Stage::Running && !txn.skipped {
             let weight = self.weight(txn);
             let tp = &mut self.products[txn.news.product];
@@ -350,10 +354,12 @@
         self.drop_hand(at, out);
     }
 
-    fn gone(&mut self, id: u32, out: &mut impl Writer) {
+    fn gone(&mut self, now: f64, id: u32, out: &mut impl Writer) {
         let Some(&at) = self.places.get(&id) else { return };
         let txn = &mut self.txns[at];
         txn.answered = true;
+        self.patience = learn(self.patience, now - txn.arrived, STRETCH_NEW);
+        self.going += GOING_NEW * (1.0 - self.going);
         let inquiry = self.products[txn.news.product].effect == Effect::Inquiry;
         match txn.stage {
             Stage::Held | Stage::Replaying => drop(self.drop_hand(at, out)),
@@ -415,9 +421,8 @@
         let mut room = (self.window - (self.calling + self.lingering.len()) as f64).min(self.room(now));
         while room >= 1.0 && self.calls_mean < self.calls_top {
             let ready = |t: &Hand| t.stage == Stage::AtCall && !t.answered && t.ask_at <= now;
-            let waiting = self.txns.iter().filter(|(_, t)| ready(t));
-            let ranked = waiting.map(|(at, t)| (at, (self.worth(t), -t.at_call)));
-            let Some((at, _)) = ranked.max_by(|a, b| order(a.1, b.1)) else { return };
+            let waiting = self.txns.iter().filter(|(_, t)| ready(t)).map(|(at, _)| at);
+            let Some(at) = waiting.max_by(|a, b| self.order(*a, *b)) else { return };
             let txn = &mut self.txns[at];
             let tp = &self.products[txn.news.product];
             // A hung call must hold neither its txn till the end nor its place in the window: it is left out
@@ -440,17 +445,26 @@
     /// Value of a held txn for each unit of work, which orders the hold.
     fn worth(&self, txn: &Hand) -> f64 {
         let tp = &self.products[txn.news.product];
-        let account = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.worth);
+        let over = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.rate / a.quota.max(1e-9)).max(1.0);
+        let account = (1.0 + (over - 1.0) * self.over_quota) / over;
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * self.weight(txn) };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
         tp.value * account * first / work
     }
 
+    /// Order of the hold, and of those who stand at a call: higher worth first, then the older.
+    fn order(&self, a: usize, b: usize) -> Ordering {
+        let (a, b) = (&self.txns[a], &self.txns[b]);
+        self.worth(a).total_cmp(&self.worth(b)).then(b.arrived.total_cmp(&a.arrived))
+    }
+
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
     fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
         let tp = &self.products[txn.news.product];
         // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
+        // Guards against callers who give up early, untold: past the age at which most go, a run is in vain.
+        let limit = if self.going > GOING { limit.min(txn.arrived + self.patience) } else { limit };
         let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
         if now + takes.max(2.0 * MARGIN) > limit {
             return Some("no time");
@@ -463,9 +477,9 @@
     fn start(&mut self, now: f64, out: &mut impl Writer) {
         let limit = self.limit.min(CEILING * self.crowd_now(now)).max(1.0).floor() as usize;
         while self.running < limit && self.room(now) > 0.0 {
-            let rank = |at: &usize| (self.worth(&self.txns[*at]), -self.txns[*at].arrived);
-            let best = self.hold.iter().map(rank).enumerate().rev().max_by(|a, b| order(a.1, b.1));
-            let Some((place, _)) = best else { return };
+            let places = (0..self.hold.len()).rev();
+            let best = places.max_by(|a, b| self.order(self.hold[*a], self.hold[*b]));
+            let Some(place) = best else { return };
             let at = self.hold[place];
             let txn = &self.txns[at];
             if let Some(reason) = self.judge(now, txn, self.hold.len() > 1) {
@@ -504,10 +518,8 @@
         for place in (0..self.hold.len()).rev() {
             let at = self.hold[place];
             let txn = &self.txns[at];
-            if !txn.news.repeat {
-                let waited = now - self.forgiven - txn.since;
-                self.longest = self.longest.max(waited / self.products[txn.news.product].wait);
-            }
+            let waited = if txn.news.repeat { 0.0 } else { now - self.forgiven - txn.since };
+            self.longest = self.longest.max(waited / self.products[txn.news.product].wait);
             if let Some(reason) = self.judge(now, txn, true) {
                 self.decline(at, reason, out);
             }
@@ -519,22 +531,21 @@
         let fade = (-(now - self.last_step) / RATE_SPAN).exp();
         self.last_step = now;
         self.finished *= fade;
-        for account in &mut self.accounts {
-            account.rate *= fade;
-            let over = account.rate / account.quota.max(1e-9);
-            account.worth = if over <= 1.0 { 1.0 } else { (1.0 + (over - 1.0) * self.over_quota) / over };
-        }
+        self.accounts.iter_mut().for_each(|account| account.rate *= fade);
         self.step_limit(gauges);
         self.step_signal(now, gauges.busy.unwrap_or(0.0), out);
         self.step_health(now, out);
+        // Guards against a table full of idle connections: it taxes the cores and turns callers back unseen.
+        let step =
+            if gauges.sockets.is_some_and(|open| open > self.sockets) { -KEEP_STEP } else { KEEP_STEP };
+        self.keep = (self.keep * (1.0 + step)).clamp(STEP.min(self.idle), self.idle);
+        out.keepalive(self.keep);
         self.longest = 0.0;
-        if now - self.noted > NOTE {
+        if now - self.noted > NOTE && !self.sheds.is_empty() {
             self.noted = now;
-            let text: String =
-                self.sheds.drain(..).map(|(p, r, n)| format!(" product {p} {r} {n},")).collect();
-            if !text.is_empty() {
-                out.note(&format!("declined:{text} limit {:.1}, calls {:.1}", self.limit, self.window));
-            }
+            let sheds = std::mem::take(&mut self.sheds).into_iter();
+            let text: String = sheds.map(|((p, r), n)| format!(" product {p} {r} {n},")).collect();
+            out.note(&format!("declined:{text} limit {:.1}, calls {:.1}", self.limit, self.window));
         }
     }
 
@@ -551,9 +562,9 @@
 
     fn step_signal(&mut self, now: f64, busy: f64, out: &mut impl Writer) {
         if self.longest > TIGHT {
-            self.pressure = (self.pressure + PRESS_UP).min(1.0);
-        } else if self.longest < LOOSE {
-            self.pressure = (self.pressure - PRESS_DOWN).max(0.0);
+            self.pressure = (self.pressure + PRESS).min(1.0);
+        } else if self.longest < TIGHT / 2.0 {
+            self.pressure = (self.pressure - PRESS / 2.0).max(0.0);
         }
         let amount = match self.signal {
             Signal::Silent => return,
@@ -564,7 +575,7 @@
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
                 let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
-                let idle = self.longest < LOOSE && busy < FULL;
+                let idle = self.longest < TIGHT / 2.0 && busy < FULL;
                 room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
             }
         };
@@ -583,16 +594,17 @@
             if now >= txn.due - MARGIN {
                 out.void(txn.news.id);
                 txn.answered = true;
-                match txn.stage {
-                    Stage::Running if self.halts => out.pause(txn.news.id),
-                    Stage::Replaying => drop(self.drop_hand(at, out)),
-                    _ => {}
+                if txn.stage == Stage::Running && self.halts {
+                    out.pause(txn.news.id);
+                } else if txn.stage == Stage::Replaying {
+                    self.drop_hand(at, out);
                 }
-                continue;
-            }
-            // The same judgement at the second queue: who waited too long for a call leaves it out.
-            let waited = txn.stage == Stage::AtCall && now - txn.at_call > CALL_WAIT * txn.sla;
-            if waited && self.room(now) > 0.0 && self.products[self.txns[at].news.product].skips {
+            } else if txn.stage == Stage::AtCall
+                && now - txn.at_call > CALL_WAIT * txn.sla
+                && self.products[txn.news.product].skips
+                && self.room(now) > 0.0
+            {
+                // The same judgement at the second queue: who waited too long for a call leaves it out.
                 self.running += 1;
                 self.give_up_call(now, at, out);
             }
@@ -602,8 +614,7 @@
     /// Keeps held memory under the machine's, lowest worth first.
     fn cut_hold(&mut self, out: &mut impl Writer) {
         while self.used > RAM_HOLD * self.ram {
-            let rank = |at: &usize| (self.worth(&self.txns[*at]), -self.txns[*at].arrived);
-            let Some(&at) = self.hold.iter().min_by(|a, b| order(rank(a), rank(b))) else { return };
+            let Some(&at) = self.hold.iter().min_by(|a, b| self.order(**a, **b)) else { return };
             self.decline(at, "memory", out);
         }
     }
@@ -616,10 +627,7 @@
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         out.decline(txn.news.id, keep_off, last);
-        match self.sheds.iter_mut().find(|s| (s.0, s.1) == (txn.news.product, reason)) {
-            Some(shed) => shed.2 += 1,
-            None => self.sheds.push((txn.news.product, reason, 1)),
-        }
+        *self.sheds.entry((txn.news.product, reason)).or_default() += 1;
     }
 
     /// Chance from 0 to under 1: multiply with carry, from the wire's seed.
@@ -659,22 +667,18 @@
         let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
-            match txn.stage {
-                Stage::Held => self.used += self.held_ram(txn),
-                Stage::Replaying => self.used += txn.news.memory,
-                Stage::Running => {
-                    self.running += 1;
-                    let tp = &self.products[txn.news.product];
-                    let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * self.weight(txn) };
-                    age += now - txn.begun;
-                    usual += takes;
-                    old += usize::from(now - txn.begun > SLOW * takes);
-                }
-                Stage::AtCall => {}
-                Stage::Calling => self.calling += 1,
-            }
-            if matches!(txn.stage, Stage::Running | Stage::AtCall | Stage::Calling) {
-                self.used += txn.news.memory * self.run_factor;
+            self.used += match txn.stage {
+                Stage::Held => self.held_ram(txn),
+                Stage::Replaying => txn.news.memory,
+                _ => txn.news.memory * self.run_factor,
+            };
+            self.calling += usize::from(txn.stage == Stage::Calling);
+            if txn.stage == Stage::Running {
+                self.running += 1;
+                let tp = &self.products[txn.news.product];
+                let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * self.weight(txn) };
+                (age, usual) = (age + now - txn.begun, usual + takes);
+                old += usize::from(now - txn.begun > SLOW * takes);
             }
         }
         // Open runs are on average as old as a run takes. Where most are far older the machine has slowed or
@@ -688,7 +692,7 @@
     /// by load, or a crowded fleet would list itself out.
     fn step_health(&mut self, now: f64, out: &mut impl Writer) {
         let rise = self.stretch.max(self.drag);
-        self.sound_at = if rise < SLOW || self.longest < LOOSE { now } else { self.sound_at };
+        self.sound_at = if rise < SLOW || self.longest < TIGHT / 2.0 { now } else { self.sound_at };
         match self.off_since {
             _ if !self.list_follows || self.leave.is_some() => {}
             None if now - self.sound_at > SLOW_FOR => {
@@ -705,11 +709,6 @@
     }
 }
 
-/// Higher worth first, then the older.
-fn order(a: (f64, f64), b: (f64, f64)) -> Ordering {
-    a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
-}
-
 /// A mean that starts with its first sample.
 fn learn(mean: f64, sample: f64, weight: f64) -> f64 {
     mean + if mean == 0.0 { 1.0 } else { weight } * (sample - mean)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub grace: f64,
     /// The longest Retry-After that is heeded; 0 where none is passed on.
     pub retry_after: f64,
+    /// How long callers keep an unused connection open, if nothing else is said.
+    pub idle: f64,
     /// The shortest time between two rounds.
     pub period: f64,
 }
@@ -139,6 +141,7 @@
             ("cold span", self.cold_span),
             ("grace", self.grace),
             ("retry-after", self.retry_after),
+            ("idle time", self.idle),
             ("period", self.period),
         ];
         let bad = |what: &str, value: f64| Err(format!("charter: {what} is out of range: {value}"));
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -49,7 +49,9 @@
     fn signal(&mut self, amount: f64) {
         self.0.push(format!("signal {amount:.2}"));
     }
-    fn keepalive(&mut self, _span: f64) {}
+    fn keepalive(&mut self, span: f64) {
+        self.0.push(format!("keepalive {span:.1}"));
+    }
     fn wake(&mut self, _after: f64) {}
     fn note(&mut self, text: &str) {
         self.0.push(format!("note {text}"));
@@ -100,6 +102,7 @@
         fall_span: 1.5,
         grace: 2.0,
         retry_after: 1.0,
+        idle: 30.0,
         period: 0.004,
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -296,10 +296,8 @@
     host.gauges.busy = Some(1.0);
     host.arrive(&(1..9).map(|id| txn(id, 0)).collect::<Vec<_>>());
     let full = host.pass(1.0);
-    assert_eq!(
-        (idle.last().unwrap().as_str(), full.last().unwrap().as_str()),
-        ("signal 3.00", "signal 1.00")
-    );
+    let told = |said: &[String]| said.iter().rfind(|line| line.starts_with("signal")).unwrap().clone();
+    assert_eq!((told(&idle).as_str(), told(&full).as_str()), ("signal 3.00", "signal 1.00"));
 }
 
 #[test]
@@ -320,3 +318,27 @@
     assert!(Charter { grace: -1.0, ..charter() }.check().is_err());
     assert!(Charter { products: vec![], ..charter() }.check().is_err());
 }
+
+#[test]
+fn a_table_full_of_idle_connections_is_emptied_and_a_small_one_left_alone() {
+    let mut host = Host::new(&charter());
+    host.gauges.sockets = Some(8.0);
+    assert_eq!(host.pass(1.0).last().unwrap(), "keepalive 30.0");
+    host.gauges.sockets = Some(80.0);
+    assert_eq!(host.pass(10.0).last().unwrap(), "keepalive 0.1");
+}
+
+#[test]
+fn where_callers_give_up_early_no_txn_is_started_that_would_outlast_them() {
+    let mut host = full(&charter());
+    for id in 10..20 {
+        host.arrive(&[txn(id, 0)]);
+    }
+    host.pass(1.0);
+    for id in 10..20 {
+        host.tell(Round { gone: &[id], ..Round::default() });
+    }
+    host.arrive(&[txn(20, 0)]);
+    assert_eq!(count(&host.pass(0.5), "decline 20"), 0);
+    assert_eq!(count(&host.pass(0.5), "decline 20"), 1);
+}
