--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,6 @@
 const BEAT: f64 = 0.02; // s between looks at the hold: well under any SLA time, yet few timers
 const STEP: f64 = 0.1; // s between steps of limit, signal and health: some runs end in it
 const MARGIN: f64 = 0.05; // s before its due time at which an answer is forced: two beats and a round
-const STANDSTILL: f64 = 0.1; // s that a beat may be late before all stood still: beats apart, under any wait
 const WAIT: f64 = 0.2; // share of the expiry to wait at most: the design page's fifth
 const WAIT_LOW: f64 = 0.12; // the same for low value: tighter, yet over a tenth, so that it queues first
 const WAIT_REPEAT: f64 = 0.04; // the same for repeats, the source's 10 of 250 ms: their time is mostly gone
@@ -53,7 +52,7 @@
 const TIGHT: f64 = 0.6; // share of its threshold waited from which the signal tightens; under half it loosens
 const PRESS: f64 = 0.03; // pressure gained a step, full in three seconds: callers hear late; half is lost
 const BIAS_CUT: f64 = 0.9; // share of its callers that a full server may have pass it over: some must test it
-const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most: the design page's second
+const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most, as in the design; SLA times bound it too
 const RETRY_SOUND: f64 = 0.25; // mean share drawn by a sound server: callers neither go nor return together
 const TOKEN_WAIT: f64 = 0.5; // share of the shortest wait for whose work tokens are given: the rest is unread
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
@@ -102,7 +101,6 @@
 struct Hand {
     news: Txn, // as it was read
     arrived: f64,
-    since: f64, // its arrival on a clock that stands still while the whole process does
     sla: f64,
     due: f64,
     size: f64,         // its hint over its product's mean
@@ -149,10 +147,7 @@
     keys: VecDeque<f64>,
     lingering: VecDeque<f64>,
     started: Option<f64>,
-    next_beat: f64,
     last_step: f64,
-    forgiven: f64,
-    standstill_end: f64,
     leave: Option<(f64, f64)>,
     limit: f64,
     stretch: f64,
@@ -208,6 +203,7 @@
         let common = charter.below == Below::Common;
         let calls_top = if common { CALLS_TOP * charter.calls_share } else { CALLS_CORE * charter.cores };
         let window = if common { CALLS_FROM * charter.calls_share } else { calls_top };
+        let longest = charter.retry_after.min(RETRY_AFTER);
         Brain {
             products: charter.products.iter().map(terms).collect(),
             accounts: charter.customers.iter().map(account).collect(),
@@ -228,7 +224,7 @@
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
             level_top: 1.0 - 1.0 / bands.len() as f64,
-            retry_after: charter.retry_after.min(RETRY_AFTER),
+            retry_after: charter.products.iter().map(|p| p.sla).fold(longest, f64::min),
             grace: charter.grace,
             idle: charter.idle,
             sockets: SOCKETS * charter.cores * charter.fall_multiple,
@@ -247,16 +243,10 @@
         let now = round.now;
         if self.started.is_none() {
             self.started = Some(now);
-            (self.noted, self.last_round, self.last_step, self.next_beat) = (now, now, now, now + BEAT);
+            (self.noted, self.last_round, self.last_step) = (now, now, now);
             out.health(true, true);
             out.wake(BEAT);
         }
-        // Guards against a standstill of the process: all waits swell without a queue, and the hold would go.
-        // The time is taken off the waits; who has none left goes all the same. Harm: a longer hold.
-        if round.wake.is_some() && now - self.next_beat > STANDSTILL {
-            self.forgiven += now - self.next_beat;
-            self.standstill_end = now;
-        }
         round.returned.iter().for_each(|end| self.returned(now, end, out));
         for at in round.at_call.iter().filter_map(|id| self.places.get(id)) {
             let txn = &mut self.txns[*at];
@@ -299,8 +289,7 @@
         if let Some(account) = self.accounts.get_mut(news.customer).filter(|_| !news.repeat) {
             account.rate += 1.0 / RATE_SPAN;
         }
-        let since = arrived - if arrived < self.standstill_end { 0.0 } else { self.forgiven };
-        let hand = Hand { news: Txn { product, ..*news }, arrived, since, sla, due, size, ..Hand::default() };
+        let hand = Hand { news: Txn { product, ..*news }, arrived, sla, due, size, ..Hand::default() };
         let at = self.txns.insert(hand);
         self.places.insert(news.id, at);
         self.used += news.memory;
@@ -462,15 +451,16 @@
     fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
         let tp = &self.products[txn.news.product];
         // A late answer is worth something to its caller while no one else wants the slot.
-        let limit = if !wanted { txn.due } else { txn.due.min(txn.arrived + txn.sla) };
+        let due = txn.due - MARGIN;
+        let limit = if !wanted { due } else { due.min(txn.arrived + txn.sla) };
         // Guards against callers who give up early, untold: past the age at which most go, a run is in vain.
         let limit = if self.going > GOING { limit.min(txn.arrived + self.patience) } else { limit };
         let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
-        if now + takes.max(2.0 * MARGIN) > limit {
+        if now + takes > limit {
             return Some("no time");
         }
         let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait };
-        (now - self.forgiven - txn.since > threshold).then_some("waited")
+        (now - txn.arrived > threshold).then_some("waited")
     }
 
     /// Gives freed slots to the best of those who have not waited too long.
@@ -512,13 +502,12 @@
     }
 
     fn beat(&mut self, now: f64, gauges: &Gauges, out: &mut impl Writer) {
-        self.next_beat = now + BEAT;
         out.wake(BEAT);
         self.answer_due(now, out);
         for place in (0..self.hold.len()).rev() {
             let at = self.hold[place];
             let txn = &self.txns[at];
-            let waited = if txn.news.repeat { 0.0 } else { now - self.forgiven - txn.since };
+            let waited = if txn.news.repeat { 0.0 } else { now - txn.arrived };
             self.longest = self.longest.max(waited / self.products[txn.news.product].wait);
             if let Some(reason) = self.judge(now, txn, true) {
                 self.decline(at, reason, out);
@@ -576,7 +565,7 @@
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
                 let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
                 let idle = self.longest < TIGHT / 2.0 && busy < FULL;
-                room * if idle { IDLE_ROOM } else { 1.0 } / self.callers
+                (room * if idle { IDLE_ROOM } else { 1.0 } / self.callers).max(1.0 - BIAS_CUT * self.pressure)
             }
         };
         if (amount - self.said).abs() > 1e-3 {
