--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,8 +24,8 @@
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
 const RISE: f64 = 1.3; // rise of run time over base that the limit bears: reading beside runs makes as much
 const SHRINK: f64 = 0.05; // share of the limit taken off a step: halved in a second or two
-const GROW: f64 = 0.1; // share put on a step while cores stand free: quicker than it shrinks, as designed
-const CEILING: f64 = 0.6; // share of the crowd survived that the limit may reach: what returns comes on top
+const GROW: f64 = 1.0; // runs put on a step while cores stand free: whole runs, since there are few slots a core
+const CEILING: f64 = 0.75; // share of the crowd survived that the limit may reach, waits for disk counted
 const CEILING_ALL: f64 = 0.8; // the same for all that runs or may return from a call at any time
 const RAM_RUN: f64 = 0.85; // share of the memory up to which runs start: leaves room for what arrives
 const RAM_HOLD: f64 = 0.92; // share of the memory over which the hold is cut: a batch still fits above
@@ -81,8 +81,9 @@
     hint: f64,
 }
 
+/// A customer here: the rate that its quota bears, with what chance puts on it where txns are few.
 struct Account {
-    quota: f64,
+    bearable: f64,
     rate: f64,
 }
 
@@ -199,7 +200,10 @@
                 ..Terms::default()
             }
         };
-        let account = |c: &Customer| Account { quota: c.quota / charter.servers, rate: 0.0 };
+        let account = |c: &Customer| {
+            let quota = c.quota / charter.servers;
+            Account { bearable: (quota + (quota / RATE_SPAN).sqrt()).max(1e-9), rate: 0.0 }
+        };
         let common = charter.below == Below::Common;
         let calls_top = if common { CALLS_TOP * charter.calls_share } else { CALLS_CORE * charter.cores };
         let window = if common { CALLS_FROM * charter.calls_share } else { calls_top };
@@ -434,7 +438,7 @@
     /// Value of a held txn for each unit of work, which orders the hold.
     fn worth(&self, txn: &Hand) -> f64 {
         let tp = &self.products[txn.news.product];
-        let over = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.rate / a.quota.max(1e-9)).max(1.0);
+        let over = self.accounts.get(txn.news.customer).map_or(1.0, |a| a.rate / a.bearable).max(1.0);
         let account = (1.0 + (over - 1.0) * self.over_quota) / over;
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * self.weight(txn) };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
@@ -541,8 +545,10 @@
     /// The gradient limit. Free cores with work held win over latency.
     fn step_limit(&mut self, gauges: &Gauges) {
         let busy = gauges.busy.unwrap_or(self.running as f64 / self.limit);
-        if busy < FULL && gauges.runnable.is_none_or(|r| r < self.cores) && !self.hold.is_empty() {
-            self.limit *= 1.0 + GROW;
+        // A slot freed just now is no reason: it is given away in this round.
+        let taken = self.running >= self.limit as usize && !self.hold.is_empty();
+        if taken && gauges.runnable.is_none_or(|r| r < self.cores) {
+            self.limit += GROW;
         } else if busy >= FULL && self.stretch > RISE {
             self.limit *= 1.0 - SHRINK;
         }
