--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const FULL: f64 = 0.92; // share of the cores busy from which they count as full: the gauge lags and rounds
 const RISE: f64 = 1.3; // rise of run time over base that the limit bears: reading beside runs makes as much
 const SHRINK: f64 = 0.05; // share of the limit taken off a step: halved in a second or two
-const GROW: f64 = 1.0; // runs put on a step while cores stand free: whole runs, since there are few slots a core
+const GROW: f64 = 1.0; // runs put on a step while cores stand free: whole ones, since slots are few
 const CEILING: f64 = 0.75; // share of the crowd survived that the limit may reach, waits for disk counted
 const CEILING_ALL: f64 = 0.8; // the same for all that runs or may return from a call at any time
 const RAM_RUN: f64 = 0.85; // share of the memory up to which runs start: leaves room for what arrives
@@ -60,6 +60,7 @@
 const KEEP_STEP: f64 = 0.1; // share by which the idle time moves a step: a tenfold change takes two seconds
 const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
 const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
+const USUAL: f64 = 0.33; // share of its SLA time that a run takes at most on a sound machine; SLOW times outlasts
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -341,7 +342,7 @@
             tp.runs += 1.0;
             let most = if tp.runs < NEW_RUNS { f64::MAX } else { RISE * tp.base };
             tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
-            self.stretch = learn(self.stretch, on_cores / tp.base, STRETCH_NEW);
+            self.stretch = learn(self.stretch, on_cores / tp.base.min(USUAL * tp.sla), STRETCH_NEW);
         }
         self.lingering.extend((txn.stage == Stage::Calling).then_some(now + self.lingers));
         self.drop_hand(at, out);
@@ -671,7 +672,9 @@
             if txn.stage == Stage::Running {
                 self.running += 1;
                 let tp = &self.products[txn.news.product];
-                let takes = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base * self.weight(txn) };
+                // A machine slow from its first run has no base to tell by: runs that outlast SLA times tell.
+                let known = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base };
+                let takes = known.min(USUAL * tp.sla) * self.weight(txn);
                 (age, usual) = (age + now - txn.begun, usual + takes);
                 old += usize::from(now - txn.begun > SLOW * takes);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -364,3 +364,14 @@
     assert_eq!(count(&host.pass(0.5), "decline 20"), 0);
     assert_eq!(count(&host.pass(0.6), "decline 20"), 1);
 }
+
+#[test]
+fn a_machine_slow_from_its_first_run_is_told_by_runs_that_outlast_their_sla_time() {
+    let mut host = full(&Charter { list_follows: true, ..charter() });
+    for id in 10..16 {
+        host.arrive(&[txn(id, 0)]);
+        assert_eq!(count(&host.pass(0.8), "health false"), 0);
+    }
+    host.arrive(&[txn(20, 0)]);
+    assert_eq!(count(&host.pass(1.5), "health false"), 1);
+}
