--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,7 @@
 const CALLS_FROM: f64 = 0.25; // the same at the start: it slows down long before it falls
 const CALLS_CORE: f64 = 8.0; // calls a core to a next tier: it decides for itself, this bounds a stuck one
 const CALLS_LEAST: f64 = 0.5; // share of them always open: hung calls must not close the way to sound servers
+const CALLS_MEAN: f64 = 0.3; // share of the dependency's span over which the mean is taken: it must not lag
 const CALLS_CUT: f64 = 0.7; // share to which a failed or slow call cuts the window: a usual step
 const CALLS_RISE: f64 = 2.5; // rise of a call's time over its base that counts as slow: past mere chance
 const CALL_AGAIN: f64 = 0.025; // s before a call is asked again, doubled each try: a full tier has moved on
@@ -60,7 +61,7 @@
 const KEEP_STEP: f64 = 0.1; // share by which the idle time moves a step: a tenfold change takes two seconds
 const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
 const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
-const USUAL: f64 = 0.33; // share of its SLA time that a run takes at most on a sound machine; SLOW times outlasts
+const USUAL: f64 = 0.33; // share of its SLA time that a run takes at most on a sound machine: a third
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -98,7 +99,6 @@
     Replaying,
 }
 
-/// A txn in hand.
 #[derive(Default)]
 struct Hand {
     news: Txn, // as it was read
@@ -208,6 +208,7 @@
         let common = charter.below == Below::Common;
         let calls_top = if common { CALLS_TOP * charter.calls_share } else { CALLS_CORE * charter.cores };
         let window = if common { CALLS_FROM * charter.calls_share } else { calls_top };
+        let least = if calls_top < 1.0 { window } else { 1.0 };
         let longest = charter.retry_after.min(RETRY_AFTER);
         Brain {
             products: charter.products.iter().map(terms).collect(),
@@ -222,9 +223,9 @@
             crowd: (charter.fall_multiple - 1.0).max(0.0),
             cold_share: if charter.cold { charter.cold_share.min(1.0) } else { 1.0 },
             cold_span: charter.cold_span.max(1e-3),
-            calls_span: charter.calls_span.max(0.1),
+            calls_span: (CALLS_MEAN * charter.calls_span).max(0.1),
             calls_top,
-            calls_least: if common { 1.0 } else { CALLS_LEAST * calls_top },
+            calls_least: if common { least } else { CALLS_LEAST * calls_top },
             lingers: charter.lingers,
             halts: charter.halt != Halt::Never,
             signal: charter.signal,
@@ -383,7 +384,7 @@
             txn.ask_at = now + CALL_AGAIN * f64::from(1 << txn.tries);
         }
         if done && self.call_takes <= CALLS_RISE * self.call_base {
-            self.window += 1.0 / self.window;
+            self.window += (1.0 / self.window).min(self.window);
         } else if end.outcome != Outcome::Failed && now - self.window_cut > self.call_takes {
             (self.window, self.window_cut) = (CALLS_CUT * self.window, now); // once for each turn of calls
         }
@@ -411,9 +412,11 @@
         while self.lingering.front().is_some_and(|&end| end <= now) {
             self.lingering.pop_front();
         }
-        self.window = self.window.clamp(self.calls_least, self.calls_top.max(1.0));
-        let mut room = (self.window - (self.calling + self.lingering.len()) as f64).min(self.room(now));
-        while room >= 1.0 && self.calls_mean < self.calls_top {
+        // A share under one call is kept as a mean, or a whole fleet's single calls would fell what is below.
+        self.window = self.window.clamp(self.calls_least, self.calls_top);
+        let in_hands = (self.calling + self.lingering.len()) as f64;
+        let mut room = (self.window.max(1.0) - in_hands).min(self.room(now));
+        while room >= 1.0 && self.calls_mean < self.window {
             let ready = |t: &Hand| t.stage == Stage::AtCall && !t.answered && t.ask_at <= now;
             let waiting = self.txns.iter().filter(|(_, t)| ready(t)).map(|(at, _)| at);
             let Some(at) = waiting.max_by(|a, b| self.order(*a, *b)) else { return };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -194,6 +194,23 @@
     assert!(host.count("call") > 10 && open < 0.3 * 19.9, "{} {open}", host.count("call"));
 }
 
+#[test]
+fn rule_4_a_fleet_that_comes_up_does_not_open_a_call_each_where_the_share_is_under_one() {
+    let mut host = Host::new(&Charter { calls_share: 0.64, ..charter() });
+    let mut open = 0.0;
+    for id in 1..33 {
+        host.arrive(&[txn(id, 0)]);
+        let mut said = host.at_call(id);
+        for _ in 0..5 {
+            open += 0.02 * count(&said, "call") as f64;
+            said.extend(host.pass(0.02));
+        }
+        host.returned(id, Outcome::Done, 0.1);
+        host.done(id);
+    }
+    assert!(open > 0.5 && open < 0.8 * 0.64 * 5.0, "{open}");
+}
+
 #[test]
 fn rule_4_the_crowd_bears_all_calls_returning_at_once() {
     let mut host = Host::new(&Charter { below: Below::NextTier, ..charter() });
