--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -392,3 +392,15 @@
     host.arrive(&[txn(20, 0)]);
     assert_eq!(count(&host.pass(1.5), "health false"), 1);
 }
+
+#[test]
+fn a_charter_of_nothings_brings_neither_panic_nor_nan() {
+    let none = Charter { callers: 0.0, calls_share: 0.0, retry_after: 0.0, lingers: 0.0, ..charter() };
+    let customers = vec![Customer { quota: 0.0 }];
+    let mut host = full(&Charter { signal: Signal::Tokens, cold: true, cold_span: 0.0, customers, ..none });
+    host.arrive(&[Txn { hint: 1e-9, memory: 0.0, ..txn(3, 1) }]);
+    host.at_call(1);
+    host.pass(11.0);
+    assert_eq!((host.count("call"), host.count("skip 1"), host.count("void 3")), (0, 1, 1));
+    assert!(host.said.0.iter().all(|line| !line.contains("NaN") && !line.contains("inf")));
+}
