--- a/crates/drill/src/charter.rs
+++ b/crates/drill/src/charter.rs
@@ -134,17 +134,14 @@
                 ("bias", Signal::Bias),
             ],
         )?,
-        share_for: info.span_or_none("ShareFor")?,
         list_follows: info.flag("ListFollows")?,
         cold: info.flag("Cold")?,
         cold_share: rules.number_or_none("ColdShare")?,
         cold_span: rules.span_or_none("Cold")?,
         fall_multiple: rules.number("FallMultiple")?,
-        fall_span: rules.span("Fall")?,
         grace: rules.span_or_none("StopSendingWithin")?,
         retry_after,
         idle: info.span_or_none("Idle")?,
-        period: top.span_or_none("Period")?,
     };
     charter.check()?;
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,24 +98,19 @@
     pub lingers: f64,
     pub halt: Halt,
     pub signal: Signal,
-    /// How long the answer to an inquiry may serve others; 0 for never.
-    pub share_for: f64,
     /// The fleet's list follows what this server says of its health.
     pub list_follows: bool,
     pub cold: bool,
     pub cold_share: f64,
     pub cold_span: f64,
-    /// Running txns a core at which a warm server falls over, and the span of that mean.
+    /// Running txns a core at which a warm server falls over.
     pub fall_multiple: f64,
-    pub fall_span: f64,
     /// What arrives later than this after the notice to leave must not run.
     pub grace: f64,
     /// The longest Retry-After that is heeded; 0 where none is passed on.
     pub retry_after: f64,
     /// How long callers keep an unused connection open, if nothing else is said.
     pub idle: f64,
-    /// The shortest time between two rounds.
-    pub period: f64,
 }
 
 impl Charter {
@@ -127,7 +122,6 @@
             ("ram", self.ram),
             ("run factor", self.run_factor),
             ("fall multiple", self.fall_multiple),
-            ("fall span", self.fall_span),
         ];
         let natural = [
             ("callers", self.callers),
@@ -136,13 +130,11 @@
             ("calls share", self.calls_share),
             ("calls span", self.calls_span),
             ("lingering", self.lingers),
-            ("sharing", self.share_for),
             ("cold share", self.cold_share),
             ("cold span", self.cold_span),
             ("grace", self.grace),
             ("retry-after", self.retry_after),
             ("idle time", self.idle),
-            ("period", self.period),
         ];
         let bad = |what: &str, value: f64| Err(format!("charter: {what} is out of range: {value}"));
         for (what, value) in positive {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -93,17 +93,14 @@
         lingers: 0.2,
         halt: Halt::Never,
         signal: Signal::Silent,
-        share_for: 0.0,
         list_follows: false,
         cold: false,
         cold_share: 0.2,
         cold_span: 10.0,
         fall_multiple: 5.0,
-        fall_span: 1.5,
         grace: 2.0,
         retry_after: 1.0,
         idle: 30.0,
-        period: 0.004,
     }
 }
 
