Rank each held txn once a scan, one bias for both signals; no decision changed

The fold of the order into one comparison had made every step of a scan work out the worth of two txns, in each round; the rank is now taken once a txn and compared as a pair. Tokens and bias share their formula, the time of a run is divided by its weight in one place. Subject and write mark leave the interface: nothing has read them since shared reads went.

--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -273,25 +273,14 @@
 }
 
 fn submit(fields: &mut Fields) -> Result<Txn, String> {
-    let mut txn = Txn {
-        id: fields.u32()?,
-        product: fields.u16()?.into(),
-        customer: fields.u16()?.into(),
-        key: fields.u64()?,
-        not_after: fields.span()?,
-        hint: fields.span()?,
-        memory: fields.f32()?,
-        rank: 0.0,
-        caller: 0,
-        repeat: false,
-        write: false,
-        unread: 0.0,
-        forerunner: 0,
-    };
+    let (id, product, customer) = (fields.u32()?, fields.u16()?.into(), fields.u16()?.into());
+    let _subject = fields.u64()?;
+    let mut txn = Txn { id, product, customer, not_after: fields.span()?, ..Txn::default() };
+    txn.hint = fields.span()?;
+    txn.memory = fields.f32()?;
     txn.rank = fields.f32()?;
     let options = fields.u8()?;
     txn.repeat = options & 2 != 0;
-    txn.write = options & 4 != 0;
     if options & 1 == 0 {
         txn.hint = 0.0;
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,7 +61,7 @@
 const KEEP_STEP: f64 = 0.1; // share by which the idle time moves a step: a tenfold change takes two seconds
 const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
 const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
-const USUAL: f64 = 0.33; // share of its SLA time that a run takes at most on a sound machine: a third
+const USUAL: f64 = 0.33; // share of its SLA time that a sound run takes at most: SLOW times it is past that
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -264,9 +264,7 @@
         if let Some(kill) = round.leave {
             self.leave = Some((now + self.grace, kill - MARGIN));
             out.health(false, true);
-            for (_, txn) in self.txns.iter_mut() {
-                txn.due = txn.due.min(kill - MARGIN);
-            }
+            self.txns.iter_mut().for_each(|(_, txn)| txn.due = txn.due.min(kill - MARGIN));
         }
         self.census(now);
         round.arrived.iter().for_each(|txn| self.arrived(now, txn, out));
@@ -332,13 +330,12 @@
             self.going -= GOING_NEW * self.going;
         }
         if end.outcome == Outcome::Done && txn.stage == Stage::Running && !txn.skipped {
-            let weight = self.weight(txn);
-            let tp = &mut self.products[txn.news.product];
             let (hint, span) = (txn.size - 1.0, now - txn.begun);
+            let on_cores = span / self.weight(txn);
+            let tp = &mut self.products[txn.news.product];
             let told = (span / tp.takes).min(3.0 * txn.size) - 1.0;
             self.hints_told += NEW * (hint * told - self.hints_told);
             self.hints_seen += NEW * (hint * hint - self.hints_seen);
-            let on_cores = span / weight;
             tp.takes = learn(tp.takes, on_cores, NEW);
             tp.runs += 1.0;
             let most = if tp.runs < NEW_RUNS { f64::MAX } else { RISE * tp.base };
@@ -418,8 +415,8 @@
         let mut room = (self.window.max(1.0) - in_hands).min(self.room(now));
         while room >= 1.0 && self.calls_mean < self.window {
             let ready = |t: &Hand| t.stage == Stage::AtCall && !t.answered && t.ask_at <= now;
-            let waiting = self.txns.iter().filter(|(_, t)| ready(t)).map(|(at, _)| at);
-            let Some(at) = waiting.max_by(|a, b| self.order(*a, *b)) else { return };
+            let waiting = self.txns.iter().filter(|(_, t)| ready(t)).map(|(at, _)| (at, self.rank(at)));
+            let Some((at, _)) = waiting.max_by(|a, b| order(a.1, b.1)) else { return };
             let txn = &mut self.txns[at];
             let tp = &self.products[txn.news.product];
             // A hung call must hold neither its txn till the end nor its place in the window: it is left out
@@ -449,17 +446,17 @@
         tp.value * account * first / work
     }
 
-    /// Order of the hold, and of those who stand at a call: higher worth first, then the older.
-    fn order(&self, a: usize, b: usize) -> Ordering {
-        let (a, b) = (&self.txns[a], &self.txns[b]);
-        self.worth(a).total_cmp(&self.worth(b)).then(b.arrived.total_cmp(&a.arrived))
+    /// Place in the hold, and among those who stand at a call: higher worth first, then the older.
+    fn rank(&self, at: usize) -> (f64, f64) {
+        let txn = &self.txns[at];
+        (self.worth(txn), -txn.arrived)
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
     fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
         let tp = &self.products[txn.news.product];
-        // A late answer is worth something to its caller while no one else wants the slot.
         let due = txn.due - MARGIN;
+        // A late answer is worth something to its caller while no one else wants the slot.
         let limit = if !wanted { due } else { due.min(txn.arrived + txn.sla) };
         // Guards against callers who give up early, untold: past the age at which most go, a run is in vain.
         let limit = if self.going > GOING { limit.min(txn.arrived + self.patience) } else { limit };
@@ -475,9 +472,8 @@
     fn start(&mut self, now: f64, out: &mut impl Writer) {
         let limit = self.limit.min(CEILING * self.crowd_now(now)).max(1.0).floor() as usize;
         while self.running < limit && self.room(now) > 0.0 {
-            let places = (0..self.hold.len()).rev();
-            let best = places.max_by(|a, b| self.order(self.hold[*a], self.hold[*b]));
-            let Some(place) = best else { return };
+            let ranks = self.hold.iter().map(|at| self.rank(*at)).enumerate();
+            let Some((place, _)) = ranks.rev().max_by(|a, b| order(a.1, b.1)) else { return };
             let at = self.hold[place];
             let txn = &self.txns[at];
             if let Some(reason) = self.judge(now, txn, self.hold.len() > 1) {
@@ -533,8 +529,7 @@
         self.step_signal(now, gauges.busy.unwrap_or(0.0), out);
         self.step_health(now, out);
         // Guards against a table full of idle connections: it taxes the cores and turns callers back unseen.
-        let step =
-            if gauges.sockets.is_some_and(|open| open > self.sockets) { -KEEP_STEP } else { KEEP_STEP };
+        let step = if gauges.sockets.unwrap_or(0.0) > self.sockets { -KEEP_STEP } else { KEEP_STEP };
         self.keep = (self.keep * (1.0 + step)).clamp(STEP.min(self.idle), self.idle);
         out.keepalive(self.keep);
         self.longest = 0.0;
@@ -565,17 +560,18 @@
         } else if self.longest < TIGHT / 2.0 {
             self.pressure = (self.pressure - PRESS / 2.0).max(0.0);
         }
+        let bias = 1.0 - BIAS_CUT * self.pressure;
         let amount = match self.signal {
             Signal::Silent => return,
             Signal::Level => self.level_top * self.pressure,
-            Signal::Bias => 1.0 - BIAS_CUT * self.pressure,
+            Signal::Bias => bias,
             // What can be finished within the shortest wait, beside what runs; far more while nothing waits.
             Signal::Tokens => {
                 let wait = self.products.iter().map(|p| p.wait).fold(f64::MAX, f64::min);
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
                 let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
                 let idle = self.longest < TIGHT / 2.0 && busy < FULL;
-                (room * if idle { IDLE_ROOM } else { 1.0 } / self.callers).max(1.0 - BIAS_CUT * self.pressure)
+                (room * if idle { IDLE_ROOM } else { 1.0 } / self.callers).max(bias)
             }
         };
         if (amount - self.said).abs() > 1e-3 {
@@ -613,7 +609,8 @@
     /// Keeps held memory under the machine's, lowest worth first.
     fn cut_hold(&mut self, out: &mut impl Writer) {
         while self.used > RAM_HOLD * self.ram {
-            let Some(&at) = self.hold.iter().min_by(|a, b| self.order(**a, **b)) else { return };
+            let ranks = self.hold.iter().map(|&at| (at, self.rank(at)));
+            let Some((at, _)) = ranks.min_by(|a, b| order(a.1, b.1)) else { return };
             self.decline(at, "memory", out);
         }
     }
@@ -710,6 +707,10 @@
     }
 }
 
+fn order(a: (f64, f64), b: (f64, f64)) -> Ordering {
+    a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+}
+
 /// A mean that starts with its first sample.
 fn learn(mean: f64, sample: f64, weight: f64) -> f64 {
     mean + if mean == 0.0 { 1.0 } else { weight } * (sample - mean)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -185,8 +185,6 @@
     pub product: usize,
     /// Place in `Charter::customers`; meaningless where there are none.
     pub customer: usize,
-    /// Subject of the txn, 0 for none.
-    pub key: u64,
     /// When its caller gives this try up, 0 where that is not told.
     pub not_after: f64,
     /// Guess of its core time, 0 for none.
@@ -198,7 +196,6 @@
     pub caller: u32,
     /// Another try or a second copy.
     pub repeat: bool,
-    pub write: bool,
     /// How long it lay unread.
     pub unread: f64,
     /// An earlier try of the same txn, 0 for none.
