--- a/crates/drill/src/charter.rs
+++ b/crates/charter/src/lib.rs
@@ -1,7 +1,13 @@
-//! Reads the start text: a JSON object whose unknown keys are ignored.
+//! The one place where configuration is read, checked and given defaults, for the adapter as for the server.
+//!
+//! Both kinds are JSON objects whose unknown keys are ignored: the [`Terms`] that a brain works by, and the
+//! [`Warrant`] of a server process, which holds such terms under `settings`. What is missing or out of range
+//! is named by its key.
+#![forbid(unsafe_code)]
 
-use puffinladder::{Below, Charter, Customer, Effect, Halt, Product, Signal};
+use puffinladder::{Below, Charter, Customer, Effect, Gauges, Halt, Product, Signal};
 use serde_json::Value;
+use std::net::SocketAddr;
 
 /// Which gauge stands at which place of a timer's values.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +19,47 @@
     Other,
 }
 
+impl Meter {
+    /// Enters what this meter shows.
+    pub fn show(self, value: f64, gauges: &mut Gauges) {
+        match self {
+            Meter::Busy => gauges.busy = Some(value),
+            Meter::Runnable => gauges.runnable = Some(value),
+            Meter::Memory => gauges.memory = Some(value),
+            Meter::Sockets => gauges.sockets = Some(value),
+            Meter::Other => {}
+        }
+    }
+}
+
+/// What a brain works by, and the names and meters by which its host translates.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub charter: Charter,
+    /// In the order in which the values come.
+    pub meters: Vec<Meter>,
+    /// Names of the products, in the order of the charter.
+    pub products: Vec<String>,
+    pub customers: Vec<String>,
+}
+
+/// What a server process is told at start.
+#[derive(Clone, Debug)]
+pub struct Warrant {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub agent: SocketAddr,
+    pub roster: SocketAddr,
+    /// Absent on the last tier, which calls nothing.
+    pub store: Option<SocketAddr>,
+    pub seed: u64,
+    /// From the notice to leave to the kill.
+    pub stop: f64,
+    pub memory_mb: f64,
+    pub sockets: usize,
+    pub terms: Terms,
+}
+
 /// An object of the start text and its path, for messages.
 struct Part<'a> {
     value: &'a Value,
@@ -33,6 +80,10 @@
         }
         Ok(Part { value, path: format!("{}{key}.", self.path) })
     }
+    fn needed(&self, key: &str) -> Result<Part<'a>, String> {
+        self.find(key).ok_or_else(|| self.wrong(key, "given"))?;
+        self.part(key)
+    }
     fn parts(&self, key: &str) -> Result<Vec<Part<'a>>, String> {
         let list = match self.find(key) {
             None => return Ok(Vec::new()),
@@ -62,6 +113,10 @@
     fn word(&self, key: &str) -> Result<&'a str, String> {
         self.find(key).map_or(Ok("silent"), |v| v.as_str().ok_or_else(|| self.wrong(key, "a word")))
     }
+    /// The simulator has no use for names, so its texts may lack them.
+    fn name(&self) -> Result<String, String> {
+        self.find("Name").map_or(Ok(String::new()), |_| self.word("Name").map(str::to_owned))
+    }
     fn choice<T: Copy>(&self, key: &str, choices: &[(&str, T)]) -> Result<T, String> {
         let word = self.word(key)?;
         let found = choices.iter().find(|(name, _)| *name == word);
@@ -71,20 +126,73 @@
     }
 }
 
-/// Decodes the start text into a charter and the order of the gauges.
-pub fn read(text: &[u8]) -> Result<(Charter, Vec<Meter>), String> {
+fn object(text: &[u8]) -> Result<Value, String> {
     let value: Value = serde_json::from_slice(text).map_err(|e| format!("start text is not JSON: {e}"))?;
     if !value.is_object() {
         return Err("start text is not a JSON object".into());
     }
+    Ok(value)
+}
+
+/// Decodes the terms that a brain works by.
+pub fn read_terms(text: &[u8]) -> Result<Terms, String> {
+    let value = object(text)?;
+    terms(&Part { value: &value, path: String::new() })
+}
+
+/// Decodes what a server process is told; `named` and `listen` stand in where the text lacks these two.
+pub fn read_warrant(text: &[u8], named: Option<&str>, listen: Option<&str>) -> Result<Warrant, String> {
+    let value = object(text)?;
     let top = Part { value: &value, path: String::new() };
+    let address = |key: &str, other: Option<&str>| -> Result<Option<SocketAddr>, String> {
+        let text = match top.find(key) {
+            None => other,
+            Some(value) => Some(value.as_str().ok_or_else(|| top.wrong(key, "a word"))?),
+        };
+        let wanted = || top.wrong(key, "an address such as 127.0.0.1:4100");
+        text.map(|text| text.parse().map_err(|_| wanted())).transpose()
+    };
+    let needed = |key: &str, other| address(key, other)?.ok_or_else(|| top.wrong(key, "given"));
+    let name = match top.find("name") {
+        None => named,
+        Some(value) => value.as_str(),
+    };
+    let plain = |name: &&str| {
+        !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+    };
+    let name =
+        name.filter(plain).ok_or_else(|| top.wrong("name", "a word of letters, digits, '-', '_' and '.'"))?;
+    let seed = top.find("seed").and_then(Value::as_str).and_then(|word| u64::from_str_radix(word, 16).ok());
+    let seed = seed.ok_or_else(|| top.wrong("seed", "up to 16 hex digits"))?;
+    let limits = top.part("limits")?;
+    let between = |part: &Part, key: &str, low: f64, high: f64| {
+        let value = part.number(key)?;
+        let wanted = || part.wrong(key, &format!("between {low} and {high}"));
+        (low..=high).contains(&value).then_some(value).ok_or_else(wanted)
+    };
+    Ok(Warrant {
+        name: name.to_owned(),
+        listen: needed("listen", listen)?,
+        agent: needed("agent", None)?,
+        roster: needed("roster", None)?,
+        store: address("store", None)?,
+        seed,
+        stop: between(&top, "stop_ms", 0.0, 3_600_000.0)? / 1e3,
+        memory_mb: between(&limits, "memory_mb", 16.0, 1_048_576.0)?,
+        sockets: between(&limits, "sockets", 64.0, 1_048_576.0)? as usize,
+        terms: terms(&top.needed("settings")?)?,
+    })
+}
+
+fn terms(top: &Part) -> Result<Terms, String> {
     let info = top.part("FamilyInfo")?;
     let rules = top.part("Contract")?;
     let limits = top.part("Limits")?;
 
     let lists = |key: &str, at: usize| -> Option<&Value> { info.find(key)?.get(at) };
-    let mut products = Vec::new();
+    let (mut products, mut product_names) = (Vec::new(), Vec::new());
     for (at, lane) in top.parts("Lanes")?.iter().enumerate() {
+        product_names.push(lane.name()?);
         products.push(Product {
             sla: lane.span("Promise")?,
             sla_stretch: lane.number_or_none("AimStretch")?,
@@ -100,8 +208,9 @@
             skip_share: lists("ClassSkipWorth", at).and_then(Value::as_f64).unwrap_or(0.0),
         });
     }
-    let mut customers = Vec::new();
+    let (mut customers, mut customer_names) = (Vec::new(), Vec::new());
     for tenant in top.parts("Tenants")? {
+        customer_names.push(tenant.name()?);
         customers.push(Customer { quota: tenant.number("QuotaRps")? });
     }
     let retry_after = if limits.flag("RetryAfter")? { limits.span_or_none("MaxRetryAfter")? } else { 0.0 };
@@ -158,5 +267,5 @@
             list.as_array().ok_or_else(|| info.wrong("Meters", "a list"))?.iter().map(meter).collect()
         }
     };
-    Ok((charter, meters))
+    Ok(Terms { charter, meters, products: product_names, customers: customer_names })
 }
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,7 +1,6 @@
 //! Speaks the bench's wire on standard input and output and hosts one `Brain` for each instance.
 //! It frames, decodes and encodes; it decides nothing.
 
-mod charter;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter, Read, Write};
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,7 +1,7 @@
 //! Frames and records of the wire: batches in, replies out.
 
-use crate::charter::{self, Meter};
 use puffinladder::{Brain, End, Gauges, Outcome, Round, Txn, Writer};
+use puffinladder_charter::Meter;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read};
 
@@ -225,10 +225,11 @@
         if code == 10 {
             let seed = fields.u64()?;
             let len = fields.u32()? as usize;
-            let (charter, meters) = charter::read(fields.take(len)?)?;
-            let brain = Brain::new(&charter, seed);
+            let terms = puffinladder_charter::read_terms(fields.take(len)?)?;
+            let brain = Brain::new(&terms.charter, seed);
             let news = News { touched: true, ..News::default() };
-            self.instances.insert(id, Instance { brain, meters, products: charter.products.len(), news });
+            let products = terms.charter.products.len();
+            self.instances.insert(id, Instance { brain, meters: terms.meters, products, news });
             self.order.push(id);
             return Ok(());
         }
@@ -294,13 +295,9 @@
     let _label = fields.u32()?;
     let mut gauges = Gauges::default();
     for at in 0..fields.u8()?.into() {
-        let value = Some(fields.f32()?);
-        match meters.get(at) {
-            Some(Meter::Busy) => gauges.busy = value,
-            Some(Meter::Runnable) => gauges.runnable = value,
-            Some(Meter::Memory) => gauges.memory = value,
-            Some(Meter::Sockets) => gauges.sockets = value,
-            Some(Meter::Other) | None => {}
+        let value = fields.f32()?;
+        if let Some(meter) = meters.get(at) {
+            meter.show(value, &mut gauges);
         }
     }
     Ok(gauges)
--- /dev/null
+++ b/crates/server/src/clock.rs
@@ -0,0 +1,43 @@
+//! The Unix clock, made steady.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Seconds of the system's clock as it stands, for stamps that other machines made.
+pub fn unix() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
+}
+
+/// The same clock without its steps back: where it is set back, this one goes on from where it stood.
+#[derive(Default)]
+pub struct Clock {
+    /// The last reading, and what steps back have cost so far.
+    last: Mutex<(f64, f64)>,
+}
+
+impl Clock {
+    pub fn now(&self) -> f64 {
+        self.at(unix())
+    }
+
+    fn at(&self, unix: f64) -> f64 {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        last.1 += (last.0 - (unix + last.1)).max(0.0);
+        last.0 = unix + last.1;
+        last.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_step_back_of_an_hour_stops_nothing() {
+        let clock = Clock::default();
+        assert_eq!(clock.at(10_000.0), 10_000.0);
+        assert_eq!(clock.at(6_400.0), 10_000.0);
+        assert_eq!(clock.at(6_400.5), 10_000.5);
+        assert_eq!(clock.at(6_500.5), 10_100.5);
+    }
+}
--- /dev/null
+++ b/crates/server/src/desk.rs
@@ -0,0 +1,345 @@
+//! Owns the module: gathers news into rounds, carries out what it writes and wakes the txns it concerns.
+
+use crate::life::House;
+use crate::memory::hands::{Hands, Name, Slip, Word};
+use crate::memory::keys::{Key, Keys};
+use crate::txn::{self, Read};
+use may::coroutine::{self, Coroutine};
+use puffinladder::{Brain, End, Gauges, Outcome, Round, Txn, Writer};
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+pub struct Desk {
+    plan: Mutex<Plan>,
+    clerk: OnceLock<Coroutine>,
+    good: AtomicBool,
+    /// The free value as it goes out, `v=0.5`.
+    signal: Mutex<Vec<u8>>,
+    /// Notices to leave, as the clock's time of the kill; 0 for none.
+    kill: AtomicU64,
+}
+
+/// What is decided with, and on.
+struct Plan {
+    brain: Brain,
+    hands: Hands,
+    keys: Keys,
+    news: News,
+    /// When the module wants its next beat; whether its gauges were asked for, and under which tag.
+    wake_at: f64,
+    asked: Option<u64>,
+    gauges: Option<Gauges>,
+    tag: u64,
+    keep: f64,
+    chores_at: f64,
+}
+
+/// What came in since the last round.
+#[derive(Default)]
+struct News {
+    returned: Vec<End>,
+    at_call: Vec<u32>,
+    ended: Vec<End>,
+    gone: Vec<u32>,
+    arrived: Vec<Txn>,
+    /// When each arrival came to the machine, by the Unix clock.
+    stamps: Vec<f64>,
+    leave: Option<f64>,
+    any: bool,
+}
+
+impl News {
+    fn clear(&mut self) {
+        self.returned.clear();
+        self.at_call.clear();
+        self.ended.clear();
+        self.gone.clear();
+        self.arrived.clear();
+        self.stamps.clear();
+        self.leave = None;
+        self.any = false;
+    }
+}
+
+impl Desk {
+    pub fn new(brain: Brain, keys: Keys, idle: f64) -> Desk {
+        let plan = Plan {
+            brain,
+            hands: Hands::default(),
+            keys,
+            news: News::default(),
+            wake_at: f64::MAX,
+            asked: None,
+            gauges: None,
+            tag: 0,
+            keep: idle,
+            chores_at: 0.0,
+        };
+        Desk {
+            plan: Mutex::new(plan),
+            clerk: OnceLock::new(),
+            good: AtomicBool::new(true),
+            signal: Mutex::default(),
+            kill: AtomicU64::new(0),
+        }
+    }
+
+    fn plan(&self) -> MutexGuard<'_, Plan> {
+        self.plan.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has the desk look up soon.
+    pub fn ring(&self) {
+        if let Some(clerk) = self.clerk.get() {
+            clerk.unpark();
+        }
+    }
+
+    fn tell(&self, news: impl FnOnce(&mut News)) {
+        let mut plan = self.plan();
+        news(&mut plan.news);
+        plan.news.any = true;
+        drop(plan);
+        self.ring();
+    }
+
+    /// Puts a txn that was read before the module; none if one of its name is in hand.
+    pub fn offer(&self, read: &Read, slip: &Arc<Slip>) -> Option<u32> {
+        let mut plan = self.plan();
+        let id = plan.hands.take(read.name, read.key, slip.clone())?;
+        let forerunner = read.key.and_then(|key| plan.keys.read(key, id, read.stamp));
+        plan.news.arrived.push(Txn { id, forerunner: forerunner.unwrap_or(0), ..read.news });
+        plan.news.stamps.push(read.stamp);
+        plan.news.any = true;
+        drop(plan);
+        self.ring();
+        Some(id)
+    }
+    pub fn at_call(&self, id: u32) {
+        self.tell(|news| news.at_call.push(id));
+    }
+    pub fn returned(&self, id: u32, outcome: Outcome, took: f64) {
+        self.tell(|news| news.returned.push(End { id, outcome, took }));
+    }
+    pub fn ended(&self, id: u32, outcome: Outcome, took: f64) {
+        self.tell(|news| news.ended.push(End { id, outcome, took }));
+    }
+    pub fn gone(&self, id: u32) {
+        self.tell(|news| news.gone.push(id));
+    }
+    /// The notice to leave: the kill comes at that time.
+    pub fn leave(&self, kill: f64) {
+        self.kill.store(kill.to_bits(), Ordering::Relaxed);
+        self.tell(|news| news.leave = Some(kill));
+    }
+    /// When the kill comes, after a notice to leave.
+    pub fn kill(&self) -> Option<f64> {
+        Some(f64::from_bits(self.kill.load(Ordering::Relaxed))).filter(|&kill| kill > 0.0)
+    }
+
+    /// A run of a referenced txn is over, with a result or without.
+    pub fn ran(&self, read: &Read, id: u32, result: Option<&Arc<Vec<u8>>>) {
+        if let Some(key) = &read.key {
+            self.plan().keys.ran(key, id, result.cloned());
+        }
+    }
+    pub fn never_ran(&self, read: &Read, id: u32) {
+        if let Some(key) = &read.key {
+            self.plan().keys.never_ran(key, id);
+        }
+    }
+    pub fn replay(&self, key: &Key, slip: &Arc<Slip>) {
+        self.plan().keys.replay(key, slip);
+    }
+
+    pub fn slip(&self, name: &Name) -> Option<Arc<Slip>> {
+        self.plan().hands.named(name).cloned()
+    }
+    /// The agent is back: all in hand look whether it missed something.
+    pub fn resume(&self) {
+        self.plan().hands.slips().for_each(|slip| slip.say(Word::Resume));
+    }
+    /// The gauges that were asked for under a tag.
+    pub fn gauges(&self, tag: u64, gauges: Gauges) {
+        let mut plan = self.plan();
+        if plan.asked == Some(tag) {
+            plan.gauges = Some(gauges);
+            drop(plan);
+            self.ring();
+        }
+    }
+
+    /// The agent is up: the module begins, if nothing has made it begin yet.
+    pub fn start(&self) {
+        self.tell(|_| {});
+    }
+
+    pub fn serving(&self) -> bool {
+        self.good.load(Ordering::Relaxed)
+    }
+    /// Appends the free value's field, if there is one.
+    pub fn put_signal(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(&self.signal.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// Works for as long as the process lives.
+    pub fn run(&self, house: &Arc<House>) {
+        self.clerk.get_or_init(coroutine::current);
+        loop {
+            self.turn(house);
+            coroutine::park();
+        }
+    }
+
+    fn turn(&self, house: &Arc<House>) {
+        let now = house.clock.now();
+        house.store.hurry(now);
+        let mut plan = self.plan();
+        if now >= plan.chores_at {
+            plan.chores_at = now + house.limits.chores.as_secs_f64();
+            plan.keys.expire(now);
+            let keep = plan.keep;
+            drop(plan);
+            house.gateways.close_idle(house, keep);
+            house.store.close_idle(now, house.limits.store_idle);
+            house.chores.ring();
+            plan = self.plan();
+        }
+        let mut wake = None;
+        if plan.asked.is_some() && (plan.gauges.is_some() || now >= plan.wake_at) {
+            // The beat comes on time, with no gauges if the agent does not answer.
+            plan.asked = None;
+            plan.wake_at = f64::MAX;
+            wake = Some(plan.gauges.take().unwrap_or_default());
+        } else if plan.asked.is_none() && now >= plan.wake_at {
+            plan.tag += 1;
+            plan.asked = Some(plan.tag);
+            plan.wake_at = now + house.limits.gauges.as_secs_f64();
+            house.agent.sample(plan.tag);
+        }
+        if plan.news.any || wake.is_some() {
+            self.round(&mut plan, now, wake);
+        }
+        house.alarm.set(plan.wake_at.min(plan.chores_at) - now);
+    }
+
+    fn round(&self, plan: &mut Plan, now: f64, wake: Option<Gauges>) {
+        let Plan { brain, hands, keys, news, wake_at, keep, .. } = plan;
+        // A txn that came and went before a round needs no decision.
+        let gone = &news.gone;
+        for (txn, stamp) in news.arrived.iter_mut().zip(&news.stamps) {
+            txn.unread = txn::age(*stamp);
+        }
+        if !gone.is_empty() {
+            news.arrived.retain(|txn| !gone.contains(&txn.id));
+        }
+        let round = Round {
+            now,
+            returned: &news.returned,
+            at_call: &news.at_call,
+            ended: &news.ended,
+            gone,
+            arrived: &news.arrived,
+            leave: news.leave,
+            wake,
+        };
+        for end in &news.ended {
+            hands.drop(end.id);
+        }
+        let mut pen = Pen { desk: self, hands, keys, now, wake_at, keep };
+        brain.round(&round, &mut pen);
+        for &id in &news.gone {
+            if hands.get_mut(id).is_some_and(|hand| !hand.running) {
+                over(hands, keys, id, Word::Over);
+            }
+        }
+        news.clear();
+    }
+}
+
+/// Ends a txn that never ran.
+fn over(hands: &mut Hands, keys: &mut Keys, id: u32, word: Word) {
+    if let Some(hand) = hands.drop(id) {
+        if let Some(key) = &hand.key {
+            keys.never_ran(key, id);
+        }
+        hand.slip.say(word);
+    }
+}
+
+/// Carries out what the module writes.
+struct Pen<'a> {
+    desk: &'a Desk,
+    hands: &'a mut Hands,
+    keys: &'a mut Keys,
+    now: f64,
+    wake_at: &'a mut f64,
+    keep: &'a mut f64,
+}
+
+impl Pen<'_> {
+    fn say(&mut self, id: u32, word: Word) {
+        if let Some(hand) = self.hands.get_mut(id) {
+            hand.slip.say(word);
+        }
+    }
+}
+
+impl Writer for Pen<'_> {
+    fn run(&mut self, id: u32) {
+        if let Some(hand) = self.hands.get_mut(id) {
+            hand.running = true;
+            hand.slip.say(Word::Run);
+        }
+    }
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool) {
+        over(self.hands, self.keys, id, Word::Decline { retry_after, last });
+    }
+    fn void(&mut self, id: u32) {
+        self.say(id, Word::Void);
+        // What was held or waited for a result is over with its answer.
+        if self.hands.get_mut(id).is_some_and(|hand| !hand.running) {
+            over(self.hands, self.keys, id, Word::Over);
+        }
+    }
+    fn pause(&mut self, id: u32) {
+        self.say(id, Word::Pause);
+    }
+    fn call(&mut self, id: u32, limit: f64) {
+        self.say(id, Word::Call { limit });
+    }
+    fn skip_call(&mut self, id: u32) {
+        self.say(id, Word::SkipCall);
+    }
+    fn remember(&mut self, id: u32, span: f64) {
+        if let Some(key) = self.hands.get_mut(id).and_then(|hand| hand.key) {
+            self.keys.remember(&key, id, self.now + span);
+        }
+    }
+    fn forget(&mut self, id: u32) {
+        if let Some(key) = self.hands.get_mut(id).filter(|hand| !hand.running).and_then(|hand| hand.key) {
+            self.keys.never_ran(&key, id);
+        }
+    }
+    fn replay(&mut self, id: u32) {
+        self.say(id, Word::Replay);
+    }
+    fn health(&mut self, good: bool, _stored: bool) {
+        self.desk.good.store(good, Ordering::Relaxed);
+    }
+    fn signal(&mut self, amount: f64) {
+        let mut signal = self.desk.signal.lock().unwrap_or_else(PoisonError::into_inner);
+        signal.clear();
+        let _ = write!(signal, "v={amount:.4}");
+    }
+    fn keepalive(&mut self, span: f64) {
+        *self.keep = span;
+    }
+    fn wake(&mut self, after: f64) {
+        *self.wake_at = self.now + after;
+    }
+    fn note(&mut self, text: &str) {
+        log::info!("module: {text}");
+    }
+}
--- /dev/null
+++ b/crates/server/src/life/mod.rs
@@ -0,0 +1,105 @@
+//! Start, notice to leave and end of the process.
+
+pub mod alarm;
+pub mod chores;
+
+use crate::clock::Clock;
+use crate::desk::Desk;
+use crate::limits::Limits;
+use crate::memory::keys::Keys;
+use crate::txn::Living;
+use crate::wire::agent::{self, Agent};
+use crate::wire::gateway::{self, Gateways};
+use crate::wire::roster;
+use crate::wire::store::Store;
+use alarm::Alarm;
+use chores::Chores;
+use may::coroutine::Builder;
+use may::net::TcpListener;
+use puffinladder::Brain;
+use puffinladder_charter::{Terms, Warrant};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::sync::Arc;
+use std::thread;
+
+/// All that the coroutines of one server share.
+pub struct House {
+    pub warrant: Warrant,
+    pub terms: Terms,
+    pub limits: Limits,
+    pub clock: Clock,
+    pub desk: Desk,
+    pub agent: Agent,
+    pub store: Store,
+    pub gateways: Gateways,
+    pub living: Living,
+    pub chores: Chores,
+    pub alarm: Alarm,
+}
+
+/// Serves until the time of the kill.
+pub fn run(warrant: Warrant) -> Result<(), String> {
+    let limits = Limits::new(&warrant);
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("no signals: {e}"))?;
+    // One core, one worker; it must not be tied to a core that other servers are tied to as well.
+    let may = may::config();
+    may.set_worker_pin(false);
+    may.set_timeout_ns(1_000_000_000);
+    may.set_workers(1).set_stack_size(limits.stack).set_pool_capacity(limits.spare_stacks);
+    let listener = TcpListener::bind(warrant.listen);
+    let listener = listener.map_err(|e| format!("listen {}: {e}", warrant.listen))?;
+    let charter = &warrant.terms.charter;
+    let keys = Keys::new(limits.results, limits.key_over);
+    let house = Arc::new(House {
+        terms: warrant.terms.clone(),
+        clock: Clock::default(),
+        desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
+        agent: Agent::new(limits.unsent_agent),
+        store: Store::default(),
+        gateways: Gateways::default(),
+        living: Living::default(),
+        chores: Chores::default(),
+        alarm: Alarm::default(),
+        limits,
+        warrant,
+    });
+    log::info!("{} listens on {}", house.warrant.name, house.warrant.listen);
+    deep(&house, "desk", |house| house.desk.run(house))?;
+    deep(&house, "agent", agent::run)?;
+    deep(&house, "roster", roster::run)?;
+    deep(&house, "listener", move |house| gateway::listen(house, listener))?;
+    let told = house.clone();
+    let notice = move || heed(&told, signals);
+    let watch = thread::Builder::new().name("signals".into()).stack_size(1 << 17);
+    watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
+    loop {
+        house.alarm.wait(house.limits.chores);
+        house.desk.ring();
+        if house.desk.kill().is_some_and(|kill| house.clock.now() > kill) {
+            log::info!("{} ends", house.warrant.name);
+            return Ok(());
+        }
+    }
+}
+
+/// A coroutine for the life of the process, with a stack that bears JSON and log lines.
+fn deep(
+    house: &Arc<House>,
+    name: &str,
+    work: impl FnOnce(&Arc<House>) + Send + 'static,
+) -> Result<(), String> {
+    let house = house.clone();
+    let builder = Builder::new().name(name.into()).stack_size(house.limits.stack_deep);
+    may::go!(builder, move || work(&house)).map(drop).map_err(|e| format!("no coroutine: {e}"))
+}
+
+/// Passes the first notice to leave on to the module; it has until the kill.
+fn heed(house: &House, mut signals: Signals) {
+    for _ in signals.forever() {
+        if house.desk.kill().is_none() {
+            log::info!("{} was told to leave", house.warrant.name);
+            house.desk.leave(house.clock.now() + house.warrant.stop);
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/limits.rs
@@ -0,0 +1,90 @@
+//! Every size, count and time of the process in one place. These are properties of the program; what is taken,
+//! run and turned away is the module's business.
+
+use puffinladder_charter::Warrant;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections of gateways held at once: the half of the descriptors that they may take.
+    pub gateways: usize,
+    /// Connections to the store, busy and idle together.
+    pub store: usize,
+    /// Txns in hand; one more is declined at once, since each takes a coroutine.
+    pub txns: usize,
+    /// Txns open on one connection.
+    pub open: usize,
+    /// Bytes of a body that a gateway sends, and of all else in one of its messages.
+    pub body: usize,
+    pub message: usize,
+    /// Bytes that wait for one slow gateway, and for all of them.
+    pub unsent: usize,
+    pub unsent_all: usize,
+    /// Bytes of a line of the agent, and bytes that wait for it.
+    pub line: usize,
+    pub unsent_agent: usize,
+    /// Bytes of a reply's head and of its body, from store and roster.
+    pub head: usize,
+    pub reply: usize,
+    /// Bytes of results kept for replays.
+    pub results: usize,
+    /// How long past its window a key stays known: a try may lie unread that long.
+    pub key_over: f64,
+    /// A connection's buffer shrinks back to this when it runs empty.
+    pub buffer: usize,
+    /// Stack of a coroutine that lives with a txn or a connection, in words of eight bytes.
+    pub stack: usize,
+    /// The same where JSON is read and lines are logged.
+    pub stack_deep: usize,
+    /// Coroutines kept for the next txn.
+    pub spare_stacks: usize,
+    /// Between looks at what is idle, stuck or late to be tried again.
+    pub chores: Duration,
+    /// How long a beat waits for its gauges.
+    pub gauges: Duration,
+    /// Between reports to the roster, and how long one may take.
+    pub report: Duration,
+    pub report_wait: Duration,
+    /// How long a connection may take to open.
+    pub connect: Duration,
+    /// How long an unused connection to the store is kept; the other side closes at 10 s.
+    pub store_idle: f64,
+    /// How long a gateway may take to close what it was asked to leave.
+    pub goodbye: f64,
+}
+
+impl Limits {
+    pub fn new(warrant: &Warrant) -> Limits {
+        let (sockets, memory) = (warrant.sockets, (warrant.memory_mb * 1048576.0) as usize);
+        // Descriptors: half to the gateways, a quarter to the store, the rest to the agent, the roster, the
+        // listener, the log, the event loop and to connections that are on their way out.
+        Limits {
+            gateways: sockets / 2,
+            store: sockets / 4,
+            // Each may touch its whole stack and hold a body: at most 45% of the memory.
+            txns: (memory * 45 / 100 / (32768 + 4096)).max(64),
+            open: 32,
+            body: 2048,
+            message: 4096,
+            unsent: 32 * (4096 + 256),
+            unsent_all: memory / 8,
+            line: 65536,
+            unsent_agent: memory / 16,
+            head: 4096,
+            reply: 32768,
+            results: memory / 8,
+            key_over: 2.0,
+            buffer: 4096,
+            stack: 4096,
+            stack_deep: 32768,
+            spare_stacks: 64,
+            chores: Duration::from_millis(100),
+            gauges: Duration::from_millis(10),
+            report: Duration::from_millis(1000),
+            report_wait: Duration::from_millis(1000),
+            connect: Duration::from_millis(1000),
+            store_idle: 5.0,
+            goodbye: 2.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/memory/keys.rs
@@ -0,0 +1,128 @@
+//! Keys of referenced txns and the results of those that ran, for as long as a repeat may come.
+
+use super::hands::{Slip, Word};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// The 32 hex digits by which all tries of one txn are known, as they came.
+pub type Key = [u8; 32];
+
+/// How far the try that holds the key has come.
+enum Course {
+    /// It waits, or runs; those who wait for its result.
+    Open(Vec<Arc<Slip>>),
+    Settled(Arc<Vec<u8>>),
+    /// It ran and failed, or its result had to be dropped.
+    Void,
+}
+
+struct Entry {
+    id: u32,
+    until: f64,
+    course: Course,
+}
+
+pub struct Keys {
+    entries: HashMap<Key, Entry>,
+    /// Ends of entries that are done, oldest first, and the key that each belongs to.
+    ends: VecDeque<(f64, Key)>,
+    results: VecDeque<(u32, Key)>,
+    kept: usize,
+    most: usize,
+    over: f64,
+}
+
+impl Keys {
+    /// Keeps `most` bytes of results, and each key for `over` seconds past its end.
+    pub fn new(most: usize, over: f64) -> Keys {
+        let (ends, results) = (VecDeque::new(), VecDeque::new());
+        Keys { entries: HashMap::new(), ends, results, kept: 0, most, over }
+    }
+
+    /// The try that holds this key, or else `id` holds it from now on.
+    pub fn read(&mut self, key: Key, id: u32, arrived: f64) -> Option<u32> {
+        let entry = Entry { id, until: f64::MAX, course: Course::Open(Vec::new()) };
+        match self.entries.get_mut(&key) {
+            // What came to the machine within the window is a repeat, however late it is read.
+            Some(old) if old.until >= arrived || matches!(old.course, Course::Open(_)) => Some(old.id),
+            _ => {
+                self.entries.insert(key, entry);
+                None
+            }
+        }
+    }
+
+    pub fn remember(&mut self, key: &Key, id: u32, until: f64) {
+        if let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) {
+            entry.until = until;
+        }
+    }
+
+    /// A try that never ran leaves nothing behind, and whoever waited for it learns so.
+    pub fn never_ran(&mut self, key: &Key, id: u32) {
+        if self.entries.get(key).is_some_and(|entry| entry.id == id) {
+            if let Some(Course::Open(waiting)) = self.entries.remove(key).map(|entry| entry.course) {
+                waiting.iter().for_each(|slip| slip.say(Word::Result(None)));
+            }
+        }
+    }
+
+    /// A run is over, with a result or without.
+    pub fn ran(&mut self, key: &Key, id: u32, result: Option<Arc<Vec<u8>>>) {
+        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) else { return };
+        let course = match &result {
+            Some(body) => Course::Settled(body.clone()),
+            None => Course::Void,
+        };
+        if let Course::Open(waiting) = std::mem::replace(&mut entry.course, course) {
+            waiting.iter().for_each(|slip| slip.say(Word::Result(result.clone())));
+        }
+        self.ends.push_back((entry.until, *key));
+        if let Some(body) = result {
+            self.kept += body.len();
+            self.results.push_back((id, *key));
+        }
+        while self.kept > self.most {
+            let Some((id, key)) = self.results.pop_front() else { return };
+            self.release(&key, id);
+        }
+    }
+
+    /// Drops a kept result; its key stays known.
+    fn release(&mut self, key: &Key, id: u32) {
+        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) else { return };
+        if let Course::Settled(body) = std::mem::replace(&mut entry.course, Course::Void) {
+            self.kept -= body.len();
+        }
+    }
+
+    /// Tells `slip` the result of the try that holds the key, as soon as there is one.
+    pub fn replay(&mut self, key: &Key, slip: &Arc<Slip>) {
+        match self.entries.get_mut(key).map(|entry| &mut entry.course) {
+            Some(Course::Open(waiting)) => waiting.push(slip.clone()),
+            Some(Course::Settled(body)) => slip.say(Word::Result(Some(body.clone()))),
+            Some(Course::Void) | None => slip.say(Word::Result(None)),
+        }
+    }
+
+    /// Forgets what no repeat can ask for any more.
+    pub fn expire(&mut self, now: f64) {
+        // Ends stand in the order in which runs ended, so a long run may hold up a few others for a while.
+        while self.ends.front().is_some_and(|(end, _)| end + self.over < now) {
+            let Some((_, key)) = self.ends.pop_front() else { return };
+            let Some(id) = self.entries.get(&key).filter(|entry| entry.until + self.over < now).map(|e| e.id)
+            else {
+                continue;
+            };
+            self.release(&key, id);
+            self.entries.remove(&key);
+        }
+        while let Some((id, key)) = self.results.front() {
+            let live = self.entries.get(key).is_some_and(|entry| entry.id == *id);
+            if live {
+                break;
+            }
+            self.results.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/memory/mod.rs
@@ -0,0 +1,4 @@
+//! What is kept in memory: the txns in hand, and the keys and results of referenced ones.
+
+pub mod hands;
+pub mod keys;
--- /dev/null
+++ b/crates/server/src/txn.rs
@@ -0,0 +1,274 @@
+//! One txn's life, from its reading to its answer and to the end of its run.
+
+use crate::clock;
+use crate::life::House;
+use crate::memory::hands::{Name, Slip, Word};
+use crate::memory::keys::Key;
+use crate::wire::gateway::Outlet;
+use crate::wire::resp::{self, Array};
+use crate::wire::store::Call;
+use puffinladder::{Effect, Outcome, Txn};
+use puffinladder_charter::Terms;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// A txn as it was read.
+pub struct Read {
+    pub name: Name,
+    pub key: Option<Key>,
+    /// When it came to the machine, by the Unix clock.
+    pub stamp: f64,
+    pub news: Txn,
+    pub class: String,
+    pub body: Vec<u8>,
+}
+
+impl Read {
+    /// Decodes `CALL tag class fields body`.
+    pub fn new(terms: &Terms, array: &Array) -> Result<Read, &'static str> {
+        let word = |place| std::str::from_utf8(array.at(place)).unwrap_or_default();
+        let class = word(2);
+        let product = terms.products.iter().position(|name| name == class).ok_or("an unknown class")?;
+        let fields = resp::fields(array.at(3), b"isftrhmpk").ok_or("a field without a value")?;
+        let [name, stamp, caller, customer, repeat, hint, memory, rank, key] = fields;
+        let hex = |text: &[u8]| text.iter().all(u8::is_ascii_hexdigit);
+        let number = |text: &[u8], fault| match text {
+            b"" => Ok(0.0),
+            _ => resp::fraction(text).ok_or(fault),
+        };
+        let name: Name = name.try_into().ok().filter(|n: &Name| hex(n)).ok_or("a wrong field i")?;
+        let key = match terms.charter.products[product].effect {
+            Effect::Referenced => {
+                Some(key.try_into().ok().filter(|k: &Key| hex(k)).ok_or("a wrong field k")?)
+            }
+            _ => None,
+        };
+        let known = |known: &String| known.as_bytes() == customer;
+        let customer = match terms.customers.iter().position(known) {
+            Some(place) => place,
+            None if terms.customers.is_empty() => 0,
+            None => return Err("an unknown tenant"),
+        };
+        let news = Txn {
+            product,
+            customer,
+            hint: number(hint, "a wrong field h")? / 1e3,
+            memory: number(memory, "a wrong field m")?,
+            rank: number(rank, "a wrong field p")?,
+            caller: number(caller, "a wrong field f")? as u32,
+            repeat: repeat == b"1",
+            ..Txn::default()
+        };
+        let stamp = resp::decimal(stamp).ok_or("a wrong field s")? as f64 / 1e3;
+        Ok(Read { name, key, stamp, news, class: class.to_owned(), body: array.at(4).to_vec() })
+    }
+}
+
+/// Owes a txn its one answer. What ends without one, a panic too, is answered as voided.
+struct Answer<'a> {
+    house: &'a House,
+    outlet: &'a Outlet,
+    tag: u64,
+    owed: bool,
+}
+
+impl Answer<'_> {
+    fn give(&mut self, word: &str, fields: &[u8], body: &[u8]) {
+        if std::mem::take(&mut self.owed) {
+            let mut all = Vec::with_capacity(48);
+            self.house.desk.put_signal(&mut all);
+            if !all.is_empty() && !fields.is_empty() {
+                all.push(b',');
+            }
+            all.extend_from_slice(fields);
+            self.outlet.answer(self.house, self.tag, word, &all, body);
+        }
+    }
+    fn settle(&mut self, result: &[u8]) {
+        self.give("200", &[], result);
+    }
+    fn decline(&mut self, retry_after: f64, last: bool) {
+        let mut fields = Vec::with_capacity(24);
+        if retry_after > 0.0 {
+            fields.extend_from_slice(b"w=");
+            resp::put_decimal(&mut fields, (retry_after * 1e3).ceil() as u64);
+        }
+        if last {
+            fields.extend_from_slice(if fields.is_empty() { b"l=1" } else { b",l=1" });
+        }
+        self.give("503", &fields, &[]);
+    }
+    fn void(&mut self) {
+        self.give("500", &[], &[]);
+    }
+}
+
+impl Drop for Answer<'_> {
+    fn drop(&mut self) {
+        self.void();
+    }
+}
+
+/// A txn's place in the module's hands: whatever happens here, the module hears of its end.
+struct Place<'a> {
+    house: &'a House,
+    id: u32,
+    left: bool,
+}
+
+impl Place<'_> {
+    fn leave(&mut self, outcome: Outcome, took: f64) {
+        if !std::mem::replace(&mut self.left, true) {
+            self.house.desk.ended(self.id, outcome, took);
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.leave(Outcome::Failed, 0.0);
+    }
+}
+
+/// How many coroutines live with a txn.
+#[derive(Default)]
+pub struct Living(AtomicUsize);
+
+/// Gives a txn its coroutine. A process with no room for one more says so at once.
+pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, outlet: Arc<Outlet>, tag: u64) {
+    if house.living.0.fetch_add(1, Ordering::Relaxed) >= house.limits.txns {
+        house.living.0.fetch_sub(1, Ordering::Relaxed);
+        Answer { house, outlet: &outlet, tag, owed: true }.decline(0.0, false);
+        return;
+    }
+    let house = house.clone();
+    may::go!(move || {
+        live(&house, read, &slip, &outlet, tag);
+        house.living.0.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+/// What the agent was last told of a run and has shown no effect of yet.
+#[derive(Clone, Copy, PartialEq)]
+enum Told {
+    Nothing,
+    Launch,
+    Freeze,
+    Thaw,
+    Deliver,
+    Forgo,
+}
+
+fn live(house: &Arc<House>, read: Read, slip: &Arc<Slip>, outlet: &Outlet, tag: u64) {
+    let mut answer = Answer { house, outlet, tag, owed: true };
+    let Some(id) = house.desk.offer(&read, slip) else {
+        log::warn!("txn: tag {tag} voided: its name is in hand already");
+        return;
+    };
+    let mut place = Place { house, id, left: false };
+    let name = &read.name;
+    let (mut told, mut paused) = (Told::Nothing, false);
+    // The call at which the run stands: the notice that asked for it, its body and then its reply.
+    let (mut notice, mut asked, mut reply) = (0, Vec::new(), Vec::new());
+    let mut call: Option<Arc<Call>> = None;
+    loop {
+        let word = slip.wait();
+        log::trace!("txn {id}: {}", word.verb());
+        match word {
+            // Held until the module has judged its wait: it is given to the cores, or turned away undone.
+            Word::Run if paused => {
+                (told, paused) = (Told::Thaw, false);
+                house.agent.thaw(name);
+            }
+            Word::Run => {
+                told = Told::Launch;
+                house.agent.launch(name, &read.class, &read.body);
+            }
+            Word::Decline { retry_after, last } => {
+                answer.decline(retry_after, last);
+                place.left = true;
+                return;
+            }
+            // A repeat of what is in hand or has run gets that one's result.
+            Word::Replay => match &read.key {
+                Some(key) => house.desk.replay(key, slip),
+                None => slip.say(Word::Result(None)),
+            },
+            Word::Result(Some(result)) => {
+                answer.settle(&result);
+                place.leave(Outcome::Done, 0.0);
+                return;
+            }
+            Word::Result(None) => {
+                answer.void();
+                place.leave(Outcome::Failed, 0.0);
+                return;
+            }
+            // The run stands at a call, which goes below once the module lets it.
+            Word::AtCall { seq, body } => {
+                (told, notice, asked) = (Told::Nothing, seq, body);
+                house.desk.at_call(id);
+            }
+            Word::Call { limit } => {
+                call = Some(Call::begin(house, *name, asked.clone(), limit, slip));
+            }
+            Word::Returned { outcome, took, body } => {
+                call = None;
+                if outcome == Outcome::Done {
+                    (told, reply) = (Told::Deliver, body);
+                    house.agent.deliver(name, &reply);
+                }
+                house.desk.returned(id, outcome, took);
+            }
+            Word::SkipCall => {
+                told = Told::Forgo;
+                house.agent.forgo(name, notice);
+            }
+            // Its due time is near, or its gateway has gone: the answer is out, and the run goes on to its end.
+            Word::Void => answer.void(),
+            Word::Gone => {
+                answer.owed = false;
+                house.desk.gone(id);
+            }
+            Word::Pause => {
+                (told, paused) = (Told::Freeze, true);
+                house.agent.freeze(name);
+            }
+            Word::Ended { outcome, took, body } => {
+                if let Some(call) = call.take() {
+                    call.give_up();
+                }
+                match outcome {
+                    Outcome::Done => {
+                        let result = Arc::new(body);
+                        house.desk.ran(&read, id, Some(&result));
+                        answer.settle(&result);
+                    }
+                    Outcome::Moot => house.desk.never_ran(&read, id),
+                    _ => house.desk.ran(&read, id, None),
+                }
+                answer.void();
+                place.leave(outcome, took);
+                return;
+            }
+            Word::Over => {
+                place.left = true;
+                return;
+            }
+            // The link to the agent is new. What it shows no effect of, it has not heard.
+            Word::Resume => match told {
+                Told::Nothing => {}
+                Told::Launch => house.agent.launch(name, &read.class, &read.body),
+                Told::Freeze => house.agent.freeze(name),
+                Told::Thaw => house.agent.thaw(name),
+                Told::Deliver => house.agent.deliver(name, &reply),
+                Told::Forgo => house.agent.forgo(name, notice),
+            },
+        }
+    }
+}
+
+/// How long ago, by the Unix clock, a stamp was made; one of the future counts as now.
+pub fn age(stamp: f64) -> f64 {
+    (clock::unix() - stamp).max(0.0)
+}
--- /dev/null
+++ b/crates/server/src/wire/agent.rs
@@ -0,0 +1,245 @@
+//! The link to the agent that owns the cores: commands out, numbered notices in, one JSON object a line.
+
+use super::ring::Ring;
+use crate::life::House;
+use crate::memory::hands::{Name, Word};
+use base64::prelude::{Engine, BASE64_STANDARD};
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use puffinladder::{Gauges, Outcome};
+use serde_json::Value;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+pub struct Agent {
+    link: Mutex<Link>,
+    greeted: AtomicBool,
+}
+
+struct Link {
+    out: Ring,
+    waker: Option<WaitIoWaker>,
+    /// Commands go out. While a new link still replays old notices they don't: it is not yet known which of
+    /// the earlier ones were heard, and `Word::Resume` has them said again.
+    open: bool,
+    broken: bool,
+}
+
+impl Agent {
+    pub fn new(unsent: usize) -> Agent {
+        let link = Link { out: Ring::new(4096, unsent), waker: None, open: false, broken: false };
+        Agent { link: Mutex::new(link), greeted: AtomicBool::new(false) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Link> {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the agent has come up.
+    pub fn greeted(&self) -> bool {
+        self.greeted.load(Ordering::Relaxed)
+    }
+
+    pub fn launch(&self, name: &Name, class: &str, body: &[u8]) {
+        let mut line = command("launch", name);
+        line.extend_from_slice(b",\"class\":");
+        line.extend_from_slice(Value::from(class).to_string().as_bytes());
+        put_body(&mut line, body);
+        self.send(line);
+    }
+    pub fn freeze(&self, name: &Name) {
+        self.send(command("freeze", name));
+    }
+    pub fn thaw(&self, name: &Name) {
+        self.send(command("thaw", name));
+    }
+    pub fn deliver(&self, name: &Name, body: &[u8]) {
+        let mut line = command("deliver", name);
+        put_body(&mut line, body);
+        self.send(line);
+    }
+    pub fn forgo(&self, name: &Name, notice: u64) {
+        let mut line = command("forgo", name);
+        line.extend_from_slice(format!(",\"seq\":{notice}").as_bytes());
+        self.send(line);
+    }
+    pub fn sample(&self, tag: u64) {
+        self.send(format!("{{\"op\":\"sample\",\"tag\":\"{tag}\"").into_bytes());
+    }
+
+    /// Sends an object that lacks its end; one that can't go now is not kept.
+    fn send(&self, line: Vec<u8>) {
+        let mut link = self.lock();
+        if link.open {
+            link.put(line);
+        }
+    }
+}
+
+impl Link {
+    fn put(&mut self, mut line: Vec<u8>) {
+        line.extend_from_slice(b"}\n");
+        if self.out.put(&line).is_err() {
+            (self.broken, self.open) = (true, false);
+        }
+        if let Some(waker) = &self.waker {
+            waker.wakeup();
+        }
+    }
+}
+
+fn command(op: &str, name: &Name) -> Vec<u8> {
+    let mut line = Vec::with_capacity(4096);
+    line.extend_from_slice(b"{\"op\":\"");
+    line.extend_from_slice(op.as_bytes());
+    line.extend_from_slice(b"\",\"id\":\"");
+    line.extend_from_slice(name);
+    line.push(b'"');
+    line
+}
+
+fn put_body(line: &mut Vec<u8>, body: &[u8]) {
+    line.extend_from_slice(b",\"body\":\"");
+    line.extend_from_slice(BASE64_STANDARD.encode(body).as_bytes());
+    line.push(b'"');
+}
+
+/// Holds the link open for as long as the process lives.
+pub fn run(house: &Arc<House>) {
+    let mut heard = 0;
+    let mut quiet = false;
+    loop {
+        match TcpStream::connect_timeout(&house.warrant.agent, house.limits.connect) {
+            Ok(stream) => {
+                quiet = false;
+                let _ = stream.set_nodelay(true);
+                let end = talk(house, &stream, &mut heard);
+                house.agent.lock().close();
+                log::warn!("agent: link lost behind notice {heard}: {}", end.unwrap_or_else(|what| what));
+            }
+            Err(e) if !std::mem::replace(&mut quiet, true) => log::warn!("agent: not reached yet: {e}"),
+            Err(_) => {}
+        }
+        house.chores.wait();
+    }
+}
+
+impl Link {
+    fn close(&mut self) {
+        (self.waker, self.open, self.broken) = (None, false, false);
+        self.out.consume(usize::MAX);
+    }
+}
+
+fn talk(house: &Arc<House>, stream: &TcpStream, heard: &mut u64) -> Result<String, String> {
+    let mut input = Ring::new(house.limits.buffer, house.limits.line);
+    {
+        let mut link = house.agent.lock();
+        link.close();
+        link.waker = Some(stream.waker());
+        link.put(format!("{{\"op\":\"subscribe\",\"seq\":{heard}").into_bytes());
+    }
+    loop {
+        loop {
+            match input.fill_from(stream.inner()) {
+                Ok(0) => return Ok("closed by the agent".into()),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Ok(e.to_string()),
+            }
+            while let Some(end) = input.whole().iter().position(|&b| b == b'\n') {
+                let line = serde_json::from_slice(&input.whole()[..end]);
+                let line = line.map_err(|e| format!("a line that is not JSON: {e}"))?;
+                input.consume(end + 1);
+                hear(house, &line, heard)?;
+            }
+            if input.is_full() {
+                return Err("an oversized line".into());
+            }
+        }
+        let mut link = house.agent.lock();
+        if link.broken {
+            return Ok("it reads too slowly".into());
+        }
+        link.out.drain_to(stream.inner()).map_err(|e| e.to_string())?;
+        drop(link);
+        stream.wait_io();
+    }
+}
+
+/// The tag of the sample that marks where replayed notices end.
+const MARK: &str = "mark";
+
+/// One line of the agent.
+fn hear(house: &Arc<House>, line: &Value, heard: &mut u64) -> Result<(), String> {
+    let word = |key: &str| line.get(key).and_then(Value::as_str).unwrap_or_default();
+    if let Some(seq) = line.get("seq").and_then(Value::as_u64) {
+        if seq <= *heard {
+            return Ok(());
+        }
+        if seq > *heard + 1 {
+            log::warn!("agent: notices {} to {} are missing", *heard + 1, seq - 1);
+        }
+        *heard = seq;
+    }
+    let body = || BASE64_STANDARD.decode(word("body")).map_err(|_| "a body that is not base64".to_string());
+    let to = |what: Word| {
+        let slip = Name::try_from(word("id").as_bytes()).ok().and_then(|name| house.desk.slip(&name));
+        match slip {
+            Some(slip) => slip.say(what),
+            None => log::info!("agent: {} for a txn that is not in hand: {}", word("op"), word("id")),
+        }
+    };
+    match word("op") {
+        "greeting" => {
+            let first = !house.agent.greeted.swap(true, Ordering::Relaxed);
+            log::info!("agent: link is up, the agent is {}", word("end"));
+            let mut link = house.agent.lock();
+            link.open = first;
+            link.put(format!("{{\"op\":\"sample\",\"tag\":\"{MARK}\"").into_bytes());
+        }
+        "sampled" if word("tag") == MARK => {
+            // All notices of old are read: what shows no effect by now was never heard.
+            if !std::mem::replace(&mut house.agent.lock().open, true) {
+                house.desk.resume();
+            }
+            house.desk.start();
+        }
+        "sampled" => {
+            let mut gauges = Gauges::default();
+            let values = line.get("values").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+            for (value, meter) in values.iter().zip(&house.terms.meters) {
+                meter.show(value.as_f64().unwrap_or_default(), &mut gauges);
+            }
+            if let Ok(tag) = word("tag").parse() {
+                house.desk.gauges(tag, gauges);
+            }
+        }
+        "request" => {
+            to(Word::AtCall {
+                seq: line.get("seq").and_then(Value::as_u64).unwrap_or_default(),
+                body: body()?,
+            });
+        }
+        "outcome" => {
+            let outcome = match word("end") {
+                "fine" => Outcome::Done,
+                "broken_off" => Outcome::Cancelled,
+                "late" => Outcome::Moot,
+                _ => Outcome::Failed,
+            };
+            let took = line.get("ms").and_then(Value::as_f64).unwrap_or_default() / 1e3;
+            to(Word::Ended { outcome, took, body: body()? });
+        }
+        "refusal" => {
+            log::warn!("agent: {} refused for {}", word("end"), word("id"));
+            if word("end") == "launch" {
+                to(Word::Ended { outcome: Outcome::Moot, took: 0.0, body: Vec::new() });
+            }
+        }
+        _ => log::debug!("agent: passed over: {line}"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/wire/gateway.rs
@@ -0,0 +1,252 @@
+//! Connections of gateways: one coroutine each, which alone reads and writes it.
+
+use super::resp::{self, Array};
+use super::ring::Ring;
+use crate::life::House;
+use crate::memory::hands::{Slip, Word};
+use crate::txn;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::{TcpListener, TcpStream};
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// How many used tags above an unused one are remembered: more than may be open, so that any order passes.
+const TAGS: usize = 256;
+
+/// All connections, and the bytes that wait for them together.
+#[derive(Default)]
+pub struct Gateways {
+    outlets: Mutex<HashMap<usize, Arc<Outlet>>>,
+    unsent: AtomicUsize,
+}
+
+/// What a txn keeps of the connection on which its answer is owed; the socket itself may be long gone.
+pub struct Outlet {
+    desk: Mutex<Counter>,
+    waker: WaitIoWaker,
+}
+
+struct Counter {
+    out: Ring,
+    open: HashMap<u64, Arc<Slip>>,
+    tags: Tags,
+    closed: bool,
+    /// When it was asked to be left, and when it was last in use.
+    leaving: Option<f64>,
+    used: f64,
+    checks: bool,
+}
+
+/// Which tags were used: all up to one, and some above it.
+#[derive(Default)]
+struct Tags {
+    all_to: u64,
+    above: BTreeSet<u64>,
+}
+
+impl Tags {
+    /// Whether the tag is new.
+    fn take(&mut self, tag: u64) -> bool {
+        if tag <= self.all_to || !self.above.insert(tag) {
+            return false;
+        }
+        while self.above.remove(&(self.all_to + 1)) {
+            self.all_to += 1;
+        }
+        if self.above.len() > TAGS {
+            self.above.pop_first();
+        }
+        true
+    }
+}
+
+impl Outlet {
+    fn lock(&self) -> MutexGuard<'_, Counter> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the one answer that a tag is owed; none goes out where the gateway has stopped waiting.
+    pub fn answer(&self, house: &House, tag: u64, word: &str, fields: &[u8], body: &[u8]) {
+        let mut counter = self.lock();
+        if counter.open.remove(&tag).is_none() || counter.closed {
+            return;
+        }
+        let mut number = Vec::with_capacity(20);
+        resp::put_decimal(&mut number, tag);
+        counter.used = house.clock.now();
+        self.write(house, &mut counter, &[&number, word.as_bytes(), fields, body]);
+    }
+
+    fn write(&self, house: &House, counter: &mut Counter, elements: &[&[u8]]) {
+        let mut bytes = Vec::with_capacity(64 + elements.iter().map(|e| e.len() + 12).sum::<usize>());
+        resp::write(&mut bytes, elements);
+        let all = house.gateways.unsent.fetch_add(bytes.len(), Ordering::Relaxed) + bytes.len();
+        if all > house.limits.unsent_all || counter.out.put(&bytes).is_err() {
+            house.gateways.unsent.fetch_sub(bytes.len(), Ordering::Relaxed);
+            counter.closed = true;
+            log::warn!("gateway: a connection closed, {} bytes lay unread there", counter.out.len());
+        }
+        self.waker.wakeup();
+    }
+}
+
+impl Gateways {
+    /// Asks connections that lay unused for `keep` to be left, and closes those that were not left in time.
+    pub fn close_idle(&self, house: &House, keep: f64) {
+        let now = house.clock.now();
+        let outlets = self.outlets.lock().unwrap_or_else(PoisonError::into_inner);
+        for outlet in outlets.values() {
+            let mut counter = outlet.lock();
+            if !counter.open.is_empty() || counter.closed || counter.checks {
+                continue;
+            }
+            match counter.leaving {
+                None if now - counter.used > keep => {
+                    counter.leaving = Some(now);
+                    outlet.write(house, &mut counter, &[b"0", b"goaway"]);
+                }
+                Some(since)
+                    if now - since > house.limits.goodbye && now - counter.used > house.limits.goodbye =>
+                {
+                    counter.closed = true;
+                    outlet.waker.wakeup();
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.outlets.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+}
+
+/// Accepts for as long as the process lives.
+pub fn listen(house: &Arc<House>, listener: TcpListener) {
+    let mut serial = 0;
+    loop {
+        // Connections beyond the gateways' share of descriptors wait in the backlog.
+        while house.gateways.count() >= house.limits.gateways {
+            house.chores.wait();
+        }
+        match listener.accept() {
+            Ok((stream, _)) => {
+                serial += 1;
+                let _ = stream.set_nodelay(true);
+                let house = house.clone();
+                may::go!(move || serve(&house, stream, serial));
+            }
+            Err(e) => {
+                // Descriptors may have run out: others close soon.
+                log::warn!("listener: no connection accepted: {e}");
+                house.chores.wait();
+            }
+        }
+    }
+}
+
+fn serve(house: &Arc<House>, stream: TcpStream, serial: usize) {
+    let counter = Counter {
+        out: Ring::new(house.limits.buffer, house.limits.unsent),
+        open: HashMap::new(),
+        tags: Tags::default(),
+        closed: false,
+        leaving: None,
+        used: house.clock.now(),
+        checks: false,
+    };
+    let outlet = Arc::new(Outlet { desk: Mutex::new(counter), waker: stream.waker() });
+    let outlets = || house.gateways.outlets.lock().unwrap_or_else(PoisonError::into_inner);
+    outlets().insert(serial, outlet.clone());
+    if let Err(what) = talk(house, &stream, &outlet) {
+        log::warn!("gateway: a connection closed: {what}");
+    }
+    outlets().remove(&serial);
+    let mut counter = outlet.lock();
+    counter.closed = true;
+    house.gateways.unsent.fetch_sub(counter.out.len(), Ordering::Relaxed);
+    counter.out = Ring::new(1, 1);
+    counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
+    drop(counter);
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Reads and writes until the connection ends; an error says what the gateway did wrong.
+fn talk(house: &Arc<House>, stream: &TcpStream, outlet: &Arc<Outlet>) -> Result<(), String> {
+    let mut input = Ring::new(house.limits.buffer, 2 * house.limits.message);
+    loop {
+        let ended = loop {
+            match input.fill_from(stream.inner()) {
+                Ok(0) => break true,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => break true,
+            }
+            while let Some(array) = resp::array(input.whole(), house.limits.body)? {
+                let size = array.size;
+                take(house, outlet, &array)?;
+                input.consume(size);
+            }
+            if input.len() > house.limits.message {
+                return Err("an oversized message".into());
+            }
+        };
+        let mut counter = outlet.lock();
+        let before = counter.out.len();
+        let written = counter.out.drain_to(stream.inner());
+        house.gateways.unsent.fetch_sub(before - counter.out.len(), Ordering::Relaxed);
+        if ended || counter.closed || written.is_err() {
+            return Ok(());
+        }
+        drop(counter);
+        stream.wait_io();
+    }
+}
+
+/// One message of a gateway.
+fn take(house: &Arc<House>, outlet: &Arc<Outlet>, array: &Array) -> Result<(), String> {
+    let tag = resp::decimal(array.at(1)).filter(|&tag| tag > 0);
+    let tag = tag.ok_or("a tag that is no number from 1 up")?;
+    let mut counter = outlet.lock();
+    counter.used = house.clock.now();
+    match array.at(0) {
+        b"CANCEL" => {
+            if let Some(slip) = counter.open.remove(&tag) {
+                slip.say(Word::Gone);
+            }
+            return Ok(());
+        }
+        b"CALL" | b"CHECK" => {}
+        _ => return Err("an unknown verb".into()),
+    }
+    if !counter.tags.take(tag) {
+        return Err(format!("tag {tag} used again"));
+    }
+    if array.at(0) == b"CHECK" {
+        counter.checks = true;
+        let word: &[u8] = if house.desk.serving() { b"serving" } else { b"not_serving" };
+        let mut fields = Vec::new();
+        house.desk.put_signal(&mut fields);
+        outlet.write(house, &mut counter, &[array.at(1), word, &fields]);
+        return Ok(());
+    }
+    counter.checks = false;
+    if counter.open.len() >= house.limits.open {
+        return Err("too many open txns".into());
+    }
+    let slip = Arc::new(Slip::default());
+    counter.open.insert(tag, slip.clone());
+    drop(counter);
+    match txn::Read::new(&house.terms, array) {
+        Ok(read) => txn::begin(house, read, slip, outlet.clone(), tag),
+        Err(what) => {
+            log::warn!("gateway: tag {tag} voided unread: {what}");
+            outlet.answer(house, tag, "500", &[], &[]);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/wire/http.rs
@@ -0,0 +1,77 @@
+//! HTTP/1.1 replies of store and roster.
+
+/// A whole reply.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reply<'a> {
+    pub status: u16,
+    /// `X-Not-Run: 1`
+    pub not_run: bool,
+    /// The connection may carry another call.
+    pub stays: bool,
+    pub body: &'a [u8],
+    pub size: usize,
+}
+
+const HEADERS: usize = 32;
+
+/// The first reply in `bytes`, or `None` while it is not all there.
+pub fn reply(bytes: &[u8], head_most: usize, body_most: usize) -> Result<Option<Reply<'_>>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let at = match head.parse(bytes).map_err(|_| "an unreadable head")? {
+        httparse::Status::Complete(at) => at,
+        httparse::Status::Partial if bytes.len() > head_most => return Err("an oversized head"),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let status = head.code.unwrap_or_default();
+    let (mut len, mut not_run, mut stays) = (None, false, head.version == Some(1));
+    for header in head.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let value = super::resp::decimal(header.value).ok_or("a wrong length")?;
+            if len.replace(value).is_some_and(|other| other != value) {
+                return Err("two lengths");
+            }
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err("a transfer coding");
+        } else if header.name.eq_ignore_ascii_case("x-not-run") {
+            not_run = header.value == b"1";
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            stays &= !header.value.eq_ignore_ascii_case(b"close");
+        }
+    }
+    let len = match len {
+        Some(len) => len,
+        None if matches!(status, 100..=199 | 204 | 304) => 0,
+        None => return Err("no length"),
+    };
+    let len = usize::try_from(len).ok().filter(|&len| len <= body_most).ok_or("an oversized body")?;
+    let Some(body) = bytes.get(at..at + len) else { return Ok(None) };
+    Ok(Some(Reply { status, not_run, stays, body, size: at + len }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_reply_is_read_once_it_is_whole_and_no_size_is_trusted() {
+        let whole = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nContent-Length: 3\r\n\r\nabc";
+        for cut in 0..whole.len() {
+            assert_eq!(reply(&whole[..cut], 4096, 64), Ok(None), "{cut}");
+        }
+        let read = reply(whole, 4096, 64).unwrap().unwrap();
+        assert_eq!((read.status, read.not_run, read.stays, read.body), (503, true, true, &b"abc"[..]));
+        let bad: [&[u8]; 6] = [
+            b"RESP/1.1 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ];
+        for bad in bad {
+            assert!(reply(bad, 4096, 64).is_err(), "{}", String::from_utf8_lossy(bad));
+        }
+        assert!(reply(&[b"HTTP/1.1 200 OK\r\nA: ".to_vec(), vec![b'a'; 99]].concat(), 64, 64).is_err());
+    }
+}
