--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -93,17 +93,17 @@
         Ok(list.iter().enumerate().map(part).collect())
     }
     fn number(&self, key: &str) -> Result<f64, String> {
-        let value = self.find(key).ok_or_else(|| self.wrong(key, "given"))?;
-        value.as_f64().ok_or_else(|| self.wrong(key, "a number"))
+        let value = self.find(key).ok_or_else(|| self.wrong(key, "given"))?.as_f64();
+        value.filter(|&value| value >= 0.0).ok_or_else(|| self.wrong(key, "a number from 0 up"))
+    }
+    fn positive(&self, key: &str) -> Result<f64, String> {
+        Some(self.number(key)?).filter(|&value| value > 0.0).ok_or_else(|| self.wrong(key, "above 0"))
     }
     /// An absent number is 0, as an absent value is anywhere on the wire.
     fn number_or_none(&self, key: &str) -> Result<f64, String> {
         self.find(key).map_or(Ok(0.0), |_| self.number(key))
     }
     /// Milliseconds to seconds.
-    fn span(&self, key: &str) -> Result<f64, String> {
-        Ok(self.number(key)? / 1e3)
-    }
     fn span_or_none(&self, key: &str) -> Result<f64, String> {
         Ok(self.number_or_none(key)? / 1e3)
     }
@@ -194,9 +194,9 @@
     for (at, lane) in top.parts("Lanes")?.iter().enumerate() {
         product_names.push(lane.name()?);
         products.push(Product {
-            sla: lane.span("Promise")?,
+            sla: lane.positive("Promise")? / 1e3,
             sla_stretch: lane.number_or_none("AimStretch")?,
-            expiry: lane.span("GiveUp")?,
+            expiry: lane.positive("GiveUp")? / 1e3,
             value: lane.number("Importance")?,
             late_share: lane.number_or_none("LateShare")?,
             effect: lane.choice(
@@ -215,11 +215,11 @@
     }
     let retry_after = if limits.flag("RetryAfter")? { limits.span_or_none("MaxRetryAfter")? } else { 0.0 };
     let charter = Charter {
-        servers: top.number("Servers")?,
+        servers: top.positive("Servers")?,
         callers: info.number_or_none("Upstreams")?,
-        cores: info.number("Cpus")?,
-        ram: info.number("RamKb")?,
-        run_factor: info.number("RunFactor")?,
+        cores: info.positive("Cpus")?,
+        ram: info.positive("RamKb")?,
+        run_factor: info.positive("RunFactor")?,
         key_memory: info.number_or_none("KeyKb")?,
         products,
         customers,
@@ -247,7 +247,7 @@
         cold: info.flag("Cold")?,
         cold_share: rules.number_or_none("ColdShare")?,
         cold_span: rules.span_or_none("Cold")?,
-        fall_multiple: rules.number("FallMultiple")?,
+        fall_multiple: rules.positive("FallMultiple")?,
         grace: rules.span_or_none("StopSendingWithin")?,
         retry_after,
         idle: info.span_or_none("Idle")?,
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -98,7 +98,7 @@
             (frame(&[to(3), gone()], 1.0), "never launched"),
             (frame(&[to(3), launch("{]")], 1.0), "not JSON"),
             (frame(&[to(3), launch(&START.replace("Cpus", "X"))], 1.0), "Cpus"),
-            (frame(&[to(3), launch(&START.replace("\"Cpus\":2", "\"Cpus\":0"))], 1.0), "cores"),
+            (frame(&[to(3), launch(&START.replace("\"Cpus\":2", "\"Cpus\":0"))], 1.0), "FamilyInfo.Cpus"),
             (frame(&[to(3), launch(&START.replace("safe", "odd"))], 1.0), "odd"),
             (frame(&[], f64::NAN), "clock"),
         ];
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -105,10 +105,10 @@
     }
 
     /// Puts a txn that was read before the module; none if one of its name is in hand.
-    pub fn offer(&self, read: &Read, slip: &Arc<Slip>) -> Option<u32> {
+    pub fn offer(&self, read: &Read, arrived: f64, slip: &Arc<Slip>) -> Option<u32> {
         let mut plan = self.plan();
         let id = plan.hands.take(read.name, read.key, slip.clone())?;
-        let forerunner = read.key.and_then(|key| plan.keys.read(key, id, read.stamp));
+        let forerunner = read.key.and_then(|key| plan.keys.read(key, id, arrived));
         plan.news.arrived.push(Txn { id, forerunner: forerunner.unwrap_or(0), ..read.news });
         plan.news.stamps.push(read.stamp);
         plan.news.any = true;
@@ -139,13 +139,13 @@
     }
 
     /// A run of a referenced txn is over, with a result or without.
-    pub fn ran(&self, read: &Read, id: u32, result: Option<&Arc<Vec<u8>>>) {
-        if let Some(key) = &read.key {
+    pub fn ran(&self, key: Option<&Key>, id: u32, result: Option<&Arc<Vec<u8>>>) {
+        if let Some(key) = key {
             self.plan().keys.ran(key, id, result.cloned());
         }
     }
-    pub fn never_ran(&self, read: &Read, id: u32) {
-        if let Some(key) = &read.key {
+    pub fn never_ran(&self, key: Option<&Key>, id: u32) {
+        if let Some(key) = key {
             self.plan().keys.never_ran(key, id);
         }
     }
@@ -202,6 +202,8 @@
             let keep = plan.keep;
             drop(plan);
             house.gateways.close_idle(house, keep);
+            house.agent.hurry(now - house.limits.mark_wait);
+            house.tally.report(house, now);
             house.store.close_idle(now, house.limits.store_idle);
             house.chores.ring();
             plan = self.plan();
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod alarm;
 pub mod chores;
+pub mod tally;
 
 use crate::clock::Clock;
 use crate::desk::Desk;
@@ -22,6 +23,7 @@
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
 use std::thread;
+use tally::Tally;
 
 /// All that the coroutines of one server share.
 pub struct House {
@@ -36,6 +38,17 @@
     pub living: Living,
     pub chores: Chores,
     pub alarm: Alarm,
+    pub tally: Tally,
+}
+
+/// What the process cannot live without: if its coroutine ever ends, the process does, and is started anew.
+struct Vital(&'static str);
+
+impl Drop for Vital {
+    fn drop(&mut self) {
+        log::error!("{} has ended", self.0);
+        std::process::exit(70);
+    }
 }
 
 /// Serves until the time of the kill.
@@ -61,10 +74,13 @@
         living: Living::default(),
         chores: Chores::default(),
         alarm: Alarm::default(),
+        tally: Tally::default(),
         limits,
         warrant,
     });
-    log::info!("{} listens on {}", house.warrant.name, house.warrant.listen);
+    let listens =
+        listener.inner().local_addr().map_err(|e| format!("listen {}: {e}", house.warrant.listen))?;
+    log::info!("{} listens on {listens}", house.warrant.name);
     deep(&house, "desk", |house| house.desk.run(house))?;
     deep(&house, "agent", agent::run)?;
     deep(&house, "roster", roster::run)?;
@@ -86,12 +102,17 @@
 /// A coroutine for the life of the process, with a stack that bears JSON and log lines.
 fn deep(
     house: &Arc<House>,
-    name: &str,
+    name: &'static str,
     work: impl FnOnce(&Arc<House>) + Send + 'static,
 ) -> Result<(), String> {
     let house = house.clone();
     let builder = Builder::new().name(name.into()).stack_size(house.limits.stack_deep);
-    may::go!(builder, move || work(&house)).map(drop).map_err(|e| format!("no coroutine: {e}"))
+    may::go!(builder, move || {
+        let _vital = Vital(name);
+        work(&house);
+    })
+    .map(drop)
+    .map_err(|e| format!("no coroutine: {e}"))
 }
 
 /// Passes the first notice to leave on to the module; it has until the kill.
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -17,6 +17,8 @@
     /// Bytes of a body that a gateway sends, and of all else in one of its messages.
     pub body: usize,
     pub message: usize,
+    /// Bytes read from one connection before others have their turn.
+    pub turn: usize,
     /// Bytes that wait for one slow gateway, and for all of them.
     pub unsent: usize,
     pub unsent_all: usize,
@@ -38,10 +40,13 @@
     pub stack_deep: usize,
     /// Coroutines kept for the next txn.
     pub spare_stacks: usize,
+    /// Between lines that sum up what was done.
+    pub summary: f64,
     /// Between looks at what is idle, stuck or late to be tried again.
     pub chores: Duration,
-    /// How long a beat waits for its gauges.
+    /// How long a beat waits for its gauges, and a new link for the end of old notices.
     pub gauges: Duration,
+    pub mark_wait: f64,
     /// Between reports to the roster, and how long one may take.
     pub report: Duration,
     pub report_wait: Duration,
@@ -66,6 +71,7 @@
             open: 32,
             body: 2048,
             message: 4096,
+            turn: 65536,
             unsent: 32 * (4096 + 256),
             unsent_all: memory / 8,
             line: 65536,
@@ -78,8 +84,10 @@
             stack: 4096,
             stack_deep: 32768,
             spare_stacks: 64,
+            summary: 10.0,
             chores: Duration::from_millis(100),
             gauges: Duration::from_millis(10),
+            mark_wait: 2.0,
             report: Duration::from_millis(1000),
             report_wait: Duration::from_millis(1000),
             connect: Duration::from_millis(1000),
--- a/crates/server/src/memory/hands.rs
+++ b/crates/server/src/memory/hands.rs
@@ -86,12 +86,13 @@
 
     /// The next word; only the txn's own coroutine asks.
     pub fn wait(&self) -> Word {
-        self.reader.get_or_init(may::coroutine::current);
         loop {
             let word = self.words.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
             match word {
                 Some(word) => return word,
-                None => may::coroutine::park(),
+                None if self.reader.get().is_some() => may::coroutine::park(),
+                // Only now that it can be woken is it sure that nothing came meanwhile.
+                None => drop(self.reader.set(may::coroutine::current())),
             }
         }
     }
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -7,6 +7,9 @@
 /// The 32 hex digits by which all tries of one txn are known, as they came.
 pub type Key = [u8; 32];
 
+/// s by which a stamp may be off, and the same again for the one it is compared with.
+const STAMP: f64 = 0.002;
+
 /// How far the try that holds the key has come.
 enum Course {
     /// It waits, or runs; those who wait for its result.
@@ -52,9 +55,10 @@
         }
     }
 
+    /// Holds the key to `until`. Stamps are whole milliseconds, so two of them may lie nearer than their txns.
     pub fn remember(&mut self, key: &Key, id: u32, until: f64) {
         if let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) {
-            entry.until = until;
+            entry.until = until + STAMP;
         }
     }
 
@@ -126,3 +130,74 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn keys() -> Keys {
+        Keys::new(10, 2.0)
+    }
+    fn heard(slip: &Slip) -> Option<Vec<u8>> {
+        match slip.wait() {
+            Word::Result(result) => result.map(|body| body.to_vec()),
+            other => panic!("heard {}", other.verb()),
+        }
+    }
+    fn result(bytes: &[u8]) -> Option<Arc<Vec<u8>>> {
+        Some(Arc::new(bytes.to_vec()))
+    }
+    const KEY: Key = [b'a'; 32];
+
+    #[test]
+    fn whoever_came_to_the_machine_within_the_window_is_a_repeat_however_late_it_is_read() {
+        let mut keys = keys();
+        assert_eq!(keys.read(KEY, 1, 100.0), None);
+        keys.remember(&KEY, 1, 150.0);
+        keys.ran(&KEY, 1, result(b"one"));
+        keys.expire(151.9);
+        assert_eq!(keys.read(KEY, 2, 150.001), Some(1));
+        assert_eq!(keys.read(KEY, 3, 150.01), None, "this one came behind it");
+        assert_eq!(keys.read(KEY, 4, 150.02), Some(3));
+    }
+
+    #[test]
+    fn an_open_run_holds_its_key_past_the_window() {
+        let mut keys = keys();
+        keys.read(KEY, 1, 100.0);
+        keys.remember(&KEY, 1, 101.0);
+        keys.expire(200.0);
+        assert_eq!(keys.read(KEY, 2, 200.0), Some(1));
+    }
+
+    #[test]
+    fn those_who_wait_hear_the_result_or_that_there_is_none() {
+        let (mut keys, slips) = (keys(), [(); 3].map(|()| Arc::new(Slip::default())));
+        keys.read(KEY, 1, 100.0);
+        keys.replay(&KEY, &slips[0]);
+        keys.never_ran(&KEY, 1);
+        assert_eq!(heard(&slips[0]), None);
+        assert_eq!(keys.read(KEY, 2, 100.0), None, "what never ran leaves no forerunner");
+        keys.replay(&KEY, &slips[1]);
+        keys.ran(&KEY, 2, result(b"two"));
+        keys.replay(&KEY, &slips[2]);
+        assert_eq!((heard(&slips[1]), heard(&slips[2])), (Some(b"two".to_vec()), Some(b"two".to_vec())));
+    }
+
+    #[test]
+    fn results_beyond_the_budget_are_dropped_oldest_first_and_their_keys_stay_known() {
+        let (mut keys, slip) = (keys(), Arc::new(Slip::default()));
+        for id in 1..=3 {
+            let key = [id as u8; 32];
+            keys.read(key, id, 100.0);
+            keys.remember(&key, id, 150.0);
+            keys.ran(&key, id, result(b"four"));
+        }
+        assert_eq!(keys.read([1; 32], 9, 100.0), Some(1));
+        keys.replay(&[1; 32], &slip);
+        keys.replay(&[2; 32], &slip);
+        assert_eq!((heard(&slip), heard(&slip)), (None, Some(b"four".to_vec())));
+        keys.expire(153.0);
+        assert_eq!((keys.entries.len(), keys.results.len(), keys.kept), (0, 0, 0));
+    }
+}
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -82,6 +82,7 @@
             }
             all.extend_from_slice(fields);
             self.outlet.answer(self.house, self.tag, word, &all, body);
+            self.house.tally.count(word);
         }
     }
     fn settle(&mut self, result: &[u8]) {
@@ -109,9 +110,11 @@
     }
 }
 
-/// A txn's place in the module's hands: whatever happens here, the module hears of its end.
+/// A txn's place in the module's hands: whatever happens here, the module hears of its end, and a key does not
+/// stay open for ever.
 struct Place<'a> {
     house: &'a House,
+    key: Option<Key>,
     id: u32,
     left: bool,
 }
@@ -126,7 +129,10 @@
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.leave(Outcome::Failed, 0.0);
+        if !self.left {
+            self.house.desk.ran(self.key.as_ref(), self.id, None);
+            self.leave(Outcome::Failed, 0.0);
+        }
     }
 }
 
@@ -134,18 +140,36 @@
 #[derive(Default)]
 pub struct Living(AtomicUsize);
 
+impl Living {
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One of them.
+struct Life(Arc<House>);
+
+impl Life {
+    /// None where the process has no room for one more.
+    fn begin(house: &Arc<House>) -> Option<Life> {
+        let life = Life(house.clone());
+        (house.living.0.fetch_add(1, Ordering::Relaxed) < house.limits.txns).then_some(life)
+    }
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        self.0.living.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Gives a txn its coroutine. A process with no room for one more says so at once.
 pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, outlet: Arc<Outlet>, tag: u64) {
-    if house.living.0.fetch_add(1, Ordering::Relaxed) >= house.limits.txns {
-        house.living.0.fetch_sub(1, Ordering::Relaxed);
+    let Some(life) = Life::begin(house) else {
         Answer { house, outlet: &outlet, tag, owed: true }.decline(0.0, false);
         return;
-    }
-    let house = house.clone();
-    may::go!(move || {
-        live(&house, read, &slip, &outlet, tag);
-        house.living.0.fetch_sub(1, Ordering::Relaxed);
-    });
+    };
+    may::go!(move || live(&life.0, read, &slip, &outlet, tag));
 }
 
 /// What the agent was last told of a run and has shown no effect of yet.
@@ -161,12 +185,13 @@
 
 fn live(house: &Arc<House>, read: Read, slip: &Arc<Slip>, outlet: &Outlet, tag: u64) {
     let mut answer = Answer { house, outlet, tag, owed: true };
-    let Some(id) = house.desk.offer(&read, slip) else {
+    let arrived = house.clock.now() - age(read.stamp);
+    let Some(id) = house.desk.offer(&read, arrived, slip) else {
         log::warn!("txn: tag {tag} voided: its name is in hand already");
         return;
     };
-    let mut place = Place { house, id, left: false };
-    let name = &read.name;
+    let mut place = Place { house, key: read.key, id, left: false };
+    let (name, key) = (&read.name, read.key.as_ref());
     let (mut told, mut paused) = (Told::Nothing, false);
     // The call at which the run stands: the notice that asked for it, its body and then its reply.
     let (mut notice, mut asked, mut reply) = (0, Vec::new(), Vec::new());
@@ -190,7 +215,7 @@
                 return;
             }
             // A repeat of what is in hand or has run gets that one's result.
-            Word::Replay => match &read.key {
+            Word::Replay => match key {
                 Some(key) => house.desk.replay(key, slip),
                 None => slip.say(Word::Result(None)),
             },
@@ -241,11 +266,11 @@
                 match outcome {
                     Outcome::Done => {
                         let result = Arc::new(body);
-                        house.desk.ran(&read, id, Some(&result));
+                        house.desk.ran(key, id, Some(&result));
                         answer.settle(&result);
                     }
-                    Outcome::Moot => house.desk.never_ran(&read, id),
-                    _ => house.desk.ran(&read, id, None),
+                    Outcome::Moot => house.desk.never_ran(key, id),
+                    _ => house.desk.ran(key, id, None),
                 }
                 answer.void();
                 place.leave(outcome, took);
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -23,12 +23,15 @@
     /// Commands go out. While a new link still replays old notices they don't: it is not yet known which of
     /// the earlier ones were heard, and `Word::Resume` has them said again.
     open: bool,
+    /// When the mark behind the replayed notices was asked for.
+    marked: f64,
     broken: bool,
 }
 
 impl Agent {
     pub fn new(unsent: usize) -> Agent {
-        let link = Link { out: Ring::new(4096, unsent), waker: None, open: false, broken: false };
+        let link =
+            Link { out: Ring::new(4096, unsent), waker: None, open: false, marked: f64::MAX, broken: false };
         Agent { link: Mutex::new(link), greeted: AtomicBool::new(false) }
     }
 
@@ -68,6 +71,15 @@
         self.send(format!("{{\"op\":\"sample\",\"tag\":\"{tag}\"").into_bytes());
     }
 
+    /// Breaks a new link whose mark was asked for before `since` and has not come: without it nothing may go out.
+    pub fn hurry(&self, since: f64) {
+        let mut link = self.lock();
+        if !link.open && link.marked < since {
+            link.broken = true;
+            link.wake();
+        }
+    }
+
     /// Sends an object that lacks its end; one that can't go now is not kept.
     fn send(&self, line: Vec<u8>) {
         let mut link = self.lock();
@@ -83,6 +95,10 @@
         if self.out.put(&line).is_err() {
             (self.broken, self.open) = (true, false);
         }
+        self.wake();
+    }
+
+    fn wake(&self) {
         if let Some(waker) = &self.waker {
             waker.wakeup();
         }
@@ -127,7 +143,7 @@
 
 impl Link {
     fn close(&mut self) {
-        (self.waker, self.open, self.broken) = (None, false, false);
+        (self.waker, self.open, self.marked, self.broken) = (None, false, f64::MAX, false);
         self.out.consume(usize::MAX);
     }
 }
@@ -161,7 +177,7 @@
         }
         let mut link = house.agent.lock();
         if link.broken {
-            return Ok("it reads too slowly".into());
+            return Ok("it reads too slowly or answers no sample".into());
         }
         link.out.drain_to(stream.inner()).map_err(|e| e.to_string())?;
         drop(link);
@@ -197,7 +213,7 @@
             let first = !house.agent.greeted.swap(true, Ordering::Relaxed);
             log::info!("agent: link is up, the agent is {}", word("end"));
             let mut link = house.agent.lock();
-            link.open = first;
+            (link.open, link.marked) = (first, house.clock.now());
             link.put(format!("{{\"op\":\"sample\",\"tag\":\"{MARK}\"").into_bytes());
         }
         "sampled" if word("tag") == MARK => {
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -178,13 +178,14 @@
 fn talk(house: &Arc<House>, stream: &TcpStream, outlet: &Arc<Outlet>) -> Result<(), String> {
     let mut input = Ring::new(house.limits.buffer, 2 * house.limits.message);
     loop {
-        let ended = loop {
+        let mut count = 0;
+        let (ended, more) = loop {
             match input.fill_from(stream.inner()) {
-                Ok(0) => break true,
-                Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break false,
+                Ok(0) => break (true, false),
+                Ok(more) => count += more,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break (false, false),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break true,
+                Err(_) => break (true, false),
             }
             while let Some(array) = resp::array(input.whole(), house.limits.body)? {
                 let size = array.size;
@@ -194,6 +195,9 @@
             if input.len() > house.limits.message {
                 return Err("an oversized message".into());
             }
+            if count > house.limits.turn {
+                break (false, true);
+            }
         };
         let mut counter = outlet.lock();
         let before = counter.out.len();
@@ -203,7 +207,11 @@
             return Ok(());
         }
         drop(counter);
-        stream.wait_io();
+        if more {
+            may::coroutine::yield_now();
+        } else {
+            stream.wait_io();
+        }
     }
 }
 
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -206,6 +206,10 @@
 }
 
 impl Store {
+    pub fn count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Wakes calls whose time is up, and closes what lay unused before the other side does.
     pub fn hurry(&self, now: f64) {
         let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/crates/server/tests/stories.rs
@@ -0,0 +1,443 @@
+//! Stories told to a whole server process by the example's stand-ins.
+
+use puffinladder_toy::gateway::{message, Answer, Gateway};
+use puffinladder_toy::town::{start, Town, EXAMPLE};
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SERVER: &[&str] = &[env!("CARGO_BIN_EXE_puffinladder-server")];
+const KEY: &str = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+fn town() -> Town {
+    Town::open(SERVER, |_| {})
+}
+
+/// The answer to the one txn that is open.
+fn answer(gateway: &mut Gateway, tag: u64) -> Answer {
+    let answer = gateway.answer().expect("an answer");
+    assert_eq!(answer.tag, tag);
+    answer
+}
+
+fn word(gateway: &mut Gateway, class: &str, more: &str, body: &[u8]) -> String {
+    let (tag, _) = gateway.call(class, more, body);
+    answer(gateway, tag).word
+}
+
+/// A server that is still well settles a txn of a new gateway.
+fn still_serves(town: &Town) {
+    assert_eq!(word(&mut town.gateway(), "quote", "", b"still there"), "200");
+}
+
+/// A stamp so long ago that the txn has waited past any threshold.
+fn stale() -> String {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+    format!(",s={}", now - 5000)
+}
+
+#[test]
+fn a_txn_is_settled_with_the_bytes_of_its_run_and_they_may_be_any() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let body: Vec<u8> = (0..2048).map(|at| (at * 7 % 256) as u8).collect();
+    let (tag, name) = gateway.call("quote", "", &body);
+    let got = answer(&mut gateway, tag);
+    assert_eq!((got.word.as_str(), got.body), ("200", [b"done ", &body[..]].concat()));
+    assert_eq!(town.agent.hears("launch", &name)["class"], "quote");
+    let (tag, _) = gateway.call("quote", "", b"");
+    assert_eq!(answer(&mut gateway, tag).body, b"done ");
+}
+
+#[test]
+fn answers_come_in_the_order_in_which_runs_end() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (slow, name) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    let (quick, _) = gateway.call("quote", "", b"quick");
+    assert_eq!(answer(&mut gateway, quick).word, "200");
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut gateway, slow).word, "200");
+}
+
+#[test]
+fn a_txn_that_waited_too_long_is_declined_with_advice_and_never_runs() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("quote", &stale(), b"too old");
+    let got = answer(&mut gateway, tag);
+    assert_eq!(got.word, "503");
+    assert!(got.fields.contains("w="), "{}", got.fields);
+    assert_eq!(town.agent.count("launch", &name), 0);
+}
+
+#[test]
+fn a_faulty_run_is_voided() {
+    assert_eq!(word(&mut town().gateway(), "quote", "", b"fail"), "500");
+}
+
+#[test]
+fn a_repeat_gets_the_result_of_its_forerunner_during_the_run_and_behind_it() {
+    let town = town();
+    let (mut first, mut second) = (town.gateway(), town.gateway());
+    let (tag, name) = first.call("order", KEY, b"hold an order");
+    town.agent.hears("launch", &name);
+    let (repeat, _) = second.call("order", KEY, b"hold an order");
+    town.logs("replay");
+    town.agent.finish(&name);
+    let wanted = answer(&mut first, tag).body;
+    assert_eq!(answer(&mut second, repeat).body, wanted);
+    let (late, _) = second.call("order", &format!("{KEY},r=1"), b"hold an order");
+    assert_eq!(answer(&mut second, late).body, wanted);
+    let other = KEY.replace('5', "6");
+    assert_eq!(word(&mut second, "order", &other, b"another key"), "200");
+    assert_eq!(town.agent.count("launch", ""), 2);
+}
+
+#[test]
+fn a_run_that_failed_is_not_run_again_for_a_repeat() {
+    let town = town();
+    let mut gateway = town.gateway();
+    for _ in 0..2 {
+        assert_eq!(word(&mut gateway, "order", KEY, b"fail"), "500");
+    }
+    assert_eq!(town.agent.count("launch", ""), 1);
+}
+
+#[test]
+fn a_declined_try_leaves_no_forerunner() {
+    let town = town();
+    let mut gateway = town.gateway();
+    assert_eq!(word(&mut gateway, "order", &format!("{KEY}{}", stale()), b"an order"), "503");
+    assert_eq!(word(&mut gateway, "order", KEY, b"an order"), "200");
+}
+
+#[test]
+fn behind_its_window_a_key_is_free_again() {
+    let town = Town::open(SERVER, |told| told["settings"]["Lanes"][1]["DedupWindow"] = json!(100));
+    let mut gateway = town.gateway();
+    let begun = Instant::now();
+    while town.agent.count("launch", "") < 2 {
+        assert_eq!(word(&mut gateway, "order", KEY, b"an order"), "200");
+        assert!(begun.elapsed() < Duration::from_secs(20), "the key never came free");
+    }
+    assert!(begun.elapsed() >= Duration::from_millis(150), "the window counts 50 ms more on sockets");
+}
+
+#[test]
+fn a_cancelled_txn_gets_no_answer_and_its_run_is_taken_off_the_cores() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    gateway.cancel(tag);
+    town.agent.hears("freeze", &name);
+    assert_eq!(word(&mut gateway, "quote", "", b"the next answer on this connection"), "200");
+}
+
+#[test]
+fn txns_of_a_lost_gateway_count_as_gone() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (_, name) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    gateway.stream.shutdown(Shutdown::Both).unwrap();
+    town.agent.hears("freeze", &name);
+    still_serves(&town);
+}
+
+#[test]
+fn a_referenced_run_goes_on_without_its_gateway_and_serves_the_repeat() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("order", KEY, b"hold");
+    town.agent.hears("launch", &name);
+    gateway.cancel(tag);
+    town.logs("gone");
+    let (repeat, _) = gateway.call("order", KEY, b"hold");
+    town.logs("replay");
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut gateway, repeat).word, "200");
+}
+
+#[test]
+fn bytes_cut_off_at_any_place_hurt_nobody() {
+    let town = town();
+    let fields = format!("i=00000000000000aa,s=1764576000123,t=acme,m=1{KEY}");
+    let whole = message(&[b"CALL", b"7", b"order", fields.as_bytes(), b"a body"]);
+    for cut in 0..whole.len() {
+        let mut gateway = town.gateway();
+        gateway.stream.write_all(&whole[..cut]).unwrap();
+        gateway.stream.shutdown(Shutdown::Write).unwrap();
+        assert_eq!(gateway.answer(), None, "{cut}");
+    }
+    assert_eq!(town.agent.count("launch", ""), 0);
+    still_serves(&town);
+}
+
+#[test]
+fn a_corrupted_byte_at_any_place_ends_in_an_answer_or_in_that_connection_s_end() {
+    let town = town();
+    let whole =
+        message(&[b"CALL", b"7", b"quote", b"i=00000000000000aa,s=1764576000123,t=acme,m=1", b"body"]);
+    for at in 0..whole.len() {
+        let mut bad = whole.clone();
+        bad[at] ^= 0x55;
+        let mut gateway = town.gateway();
+        gateway.stream.write_all(&bad).unwrap();
+        gateway.stream.shutdown(Shutdown::Write).unwrap();
+        if let Some(answer) = gateway.answer() {
+            assert!(["200", "500", "503"].contains(&answer.word.as_str()), "{at}: {answer:?}");
+            assert_eq!(gateway.answer(), None);
+        }
+    }
+    still_serves(&town);
+}
+
+#[test]
+fn broken_framing_closes_its_connection_with_a_log_line_and_a_bad_field_does_not() {
+    let town = town();
+    let call = |tag: &[u8]| message(&[b"CALL", tag, b"nothing", b"", b""]);
+    let cases: [(Vec<u8>, &str); 6] = [
+        (b"*2\r\n+CHECK\r\n".to_vec(), "broken framing"),
+        (b"*2\r\n$5\r\nCHECK\r\n$4000\r\n".to_vec(), "oversized element"),
+        (b"*9999\r\n".to_vec(), "wrong number of elements"),
+        (call(b"0"), "a tag that is no number"),
+        ([call(b"3"), call(b"3")].concat(), "tag 3 used again"),
+        (message(&[b"PING", b"1"]), "unknown verb"),
+    ];
+    for (bytes, line) in cases {
+        let mut gateway = town.gateway();
+        gateway.stream.write_all(&bytes).unwrap();
+        town.logs(line);
+        while gateway.answer().is_some() {}
+    }
+    let mut gateway = town.gateway();
+    for (class, more) in
+        [("nothing", ""), ("quote", ",t=nobody"), ("quote", ",m=-1"), ("order", ",k=5"), ("quote", ",i=5")]
+    {
+        assert_eq!(word(&mut gateway, class, more, b""), "500", "{class} {more}");
+    }
+    assert_eq!(word(&mut gateway, "quote", "", b""), "200");
+}
+
+#[test]
+fn more_than_32_open_txns_close_the_connection() {
+    let town = town();
+    let mut gateway = town.gateway();
+    for _ in 0..33 {
+        gateway.call("quote", "", b"hold");
+    }
+    town.logs("too many open txns");
+    while gateway.answer().is_some() {}
+    still_serves(&town);
+}
+
+#[test]
+fn a_gateway_that_reads_nothing_stalls_nobody_and_is_closed() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let mut sent = 0;
+    let checks: Vec<u8> = std::iter::repeat_with(|| {
+        sent += 1;
+        message(&[b"CHECK", sent.to_string().as_bytes(), b""])
+    })
+    .take(400_000)
+    .flatten()
+    .collect();
+    // The write fails once the server has closed, which is what is wanted.
+    let _ = gateway.stream.write_all(&checks);
+    town.logs("lay unread there");
+    still_serves(&town);
+}
+
+/// A line of the process's own account, in kilobytes.
+fn memory(town: &Town, line: &str) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", town.child.id())).unwrap();
+    let found =
+        text.lines().find_map(|text| text.strip_prefix(line)?.strip_suffix("kB")?.trim().parse().ok());
+    found.unwrap()
+}
+
+#[test]
+fn a_crowd_beyond_the_process_s_size_is_declined_and_memory_holds() {
+    // Runs that book almost nothing, so that the module lets them all in; 16 MB bear 127 of them.
+    let town = Town::open(SERVER, |told| told["limits"]["memory_mb"] = json!(16));
+    let mut gateways: Vec<Gateway> = (0..8).map(|_| town.gateway()).collect();
+    let body = [&b"hold"[..], &[b'x'; 2044]].concat();
+    for gateway in &mut gateways {
+        (0..32).for_each(|_| drop(gateway.call("quote", ",m=0.001", &body)));
+    }
+    let last = gateways.last_mut().unwrap();
+    assert_eq!(last.answer().unwrap().word, "503");
+    let most = memory(&town, "VmHWM:");
+    assert!(most < 16.0 * 1024.0, "{most} kB");
+}
+
+#[test]
+fn health_checks_are_answered_before_the_agent_is_up_and_the_roster_hears_only_behind_it() {
+    let town = Town::found(SERVER, false, |_| {});
+    assert_eq!(town.gateway().check().word, "serving");
+    assert_eq!(town.roster.calls.lock().len(), 0);
+    town.agent.greet();
+    town.roster.hears("PUT /roster/toy-1 ", r#"{"duty":"on"}"#);
+    still_serves(&town);
+}
+
+#[test]
+fn a_lost_link_resumes_where_it_stood_and_no_run_is_asked_for_twice() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    town.agent.cut();
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut gateway, tag).word, "200");
+    assert_eq!(town.agent.count("launch", &name), 1);
+    assert_eq!(town.agent.hears("subscribe", "")["seq"], 0);
+    town.agent.hears_times("subscribe", 2);
+    // What is read while there is no link is launched once there is one again.
+    town.agent.cut();
+    let (tag, _) = gateway.call("quote", "", b"read without a link");
+    assert_eq!(answer(&mut gateway, tag).word, "200");
+}
+
+#[test]
+fn a_line_that_cannot_be_read_breaks_the_link_only() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    town.agent.babble("{\"op\":\"outcome\",\n");
+    town.agent.hears_times("subscribe", 2);
+    town.agent.babble(&"x".repeat(70_000));
+    town.agent.hears_times("subscribe", 3);
+    town.agent
+        .babble("{\"op\":\"outcome\",\"id\":\"00000000000000ff\",\"end\":\"fine\",\"ms\":1,\"body\":\"\"}\n");
+    town.logs("not in hand");
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut gateway, tag).word, "200");
+}
+
+#[test]
+fn with_a_silent_agent_due_answers_still_go_out() {
+    let town = Town::open(SERVER, |told| told["settings"]["Lanes"][0]["GiveUp"] = json!(600));
+    town.agent.mute(true);
+    assert_eq!(word(&mut town.gateway(), "quote", "", b"hold"), "500");
+}
+
+#[test]
+fn a_call_goes_below_under_the_name_of_its_txn_and_the_reply_comes_back_unchanged() {
+    let town = town();
+    let mut gateway = town.gateway();
+    for (key, text) in [("5c", "a call"), ("5d", "another on the same connection")] {
+        let (tag, name) = gateway.call("order", &KEY.replace("5c", key), format!("call {text}").as_bytes());
+        assert_eq!(answer(&mut gateway, tag).body, format!("stored {text}").as_bytes());
+        town.store.hears(&name, text);
+    }
+    assert_eq!(*town.store.ended.lock(), 0);
+}
+
+#[test]
+fn a_call_that_may_have_had_its_effect_is_not_repeated_and_one_that_never_ran_is() {
+    let town = Town::open(SERVER, |told| told["settings"]["Lanes"][1]["Promise"] = json!(700));
+    let mut gateway = town.gateway();
+    for (at, end) in ["error", "late", "junk", "break", "hang"].into_iter().enumerate() {
+        let key = KEY.replace("5c0f", &format!("00{at:02}"));
+        let (tag, name) = gateway.call("order", &key, format!("call {end}").as_bytes());
+        assert_eq!(answer(&mut gateway, tag).word, "500", "{end}");
+        assert_eq!(town.store.calls.lock().iter().filter(|call| call.0 == name).count(), 1, "{end}");
+    }
+    for (at, end) in ["busy", "void"].into_iter().enumerate() {
+        let key = KEY.replace("5c0f", &format!("01{at:02}"));
+        let (_, name) = gateway.call("order", &key, format!("call {end}").as_bytes());
+        town.store
+            .calls
+            .wait(end, |calls| (calls.iter().filter(|call| call.0 == name).count() > 1).then_some(()));
+    }
+    // Where the call may be left out, it is.
+    let (_, name) = gateway.call("quote", "", b"call error");
+    town.agent.hears("forgo", &name);
+}
+
+#[test]
+fn without_a_store_calls_prove_unreachable_and_are_left_out() {
+    let town = Town::open(SERVER, |told| told["store"] = Value::Null);
+    let mut gateway = town.gateway();
+    let (tag, _) = gateway.call("quote", "", b"call nobody");
+    assert_eq!(answer(&mut gateway, tag).body, b"poorer");
+}
+
+#[test]
+fn a_run_that_ended_closes_the_call_it_stood_at() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("quote", "", b"call hang");
+    town.store.hears(&name, "hang");
+    gateway.cancel(tag);
+    town.agent.finish(&name);
+    town.store.ended.wait("the call's connection to end", |ended| (*ended == 1).then_some(()));
+}
+
+#[test]
+fn an_unused_connection_is_asked_to_leave_and_a_crossing_txn_is_not_lost() {
+    let town = Town::open(SERVER, |told| told["settings"]["FamilyInfo"]["Idle"] = json!(200));
+    let mut gateway = town.gateway();
+    assert_eq!(word(&mut gateway, "quote", "", b""), "200");
+    let goodbye = gateway.answer().unwrap();
+    assert_eq!((goodbye.tag, goodbye.word.as_str()), (0, "goaway"));
+    assert_eq!(word(&mut gateway, "quote", "", b"crossing"), "200");
+    assert_eq!(gateway.answer(), None, "a gateway that does not leave is left");
+}
+
+#[test]
+fn a_drain_answers_what_was_read_runs_nothing_late_and_ends_in_time() {
+    let mut town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("order", KEY, b"hold");
+    town.agent.hears("launch", &name);
+    let noticed = Instant::now();
+    town.term();
+    town.logs("told to leave");
+    // Past the grace nothing runs any more: each txn is declined, and the gateway may go elsewhere.
+    let mut other = town.gateway();
+    while word(&mut other, "quote", "", b"late") != "503" {
+        assert!(noticed.elapsed() < Duration::from_secs(20), "late txns still run");
+    }
+    assert_eq!(other.check().word, "not_serving");
+    assert_eq!(answer(&mut gateway, tag).word, "500");
+    assert!(town.end().success());
+}
+
+#[test]
+fn accepting_survives_running_out_of_descriptors() {
+    let town = Town::open(&["sh", "-c", "ulimit -n 40; exec \"$0\"", SERVER[0]], |_| {});
+    let crowd: Vec<Gateway> = (0..60).map(|_| town.gateway()).collect();
+    town.logs("no connection accepted");
+    drop(crowd);
+    still_serves(&town);
+}
+
+#[test]
+fn a_wrong_configuration_is_named_by_its_key_before_listening() {
+    let cases = [
+        ("{", "not JSON"),
+        ("{}", "name"),
+        (&EXAMPLE.replace("\"127.0.0.1:4100\"", "7"), "listen"),
+        (&EXAMPLE.replace("127.0.0.1:6100", "nowhere"), "agent"),
+        (&EXAMPLE.replace("1500,", "-1,"), "stop_ms"),
+        (&EXAMPLE.replace("\"sockets\": 1024", "\"sockets\": 3"), "limits.sockets"),
+        (&EXAMPLE.replace("\"keyed\"", "\"odd\""), "settings.Lanes[1].Effect"),
+    ];
+    for (text, key) in cases {
+        let log = Arc::default();
+        let mut child = start(SERVER, text, &log);
+        assert!(!child.wait().unwrap().success(), "{key}");
+        log.wait("the log's end", |log| log.iter().any(|line| line == "the log ends").then_some(()));
+        let lines = log.lock().join("\n");
+        assert!(lines.contains(key) && !lines.contains("listens"), "wanted {key}: {lines}");
+    }
+}
--- /dev/null
+++ b/examples/toy/src/agent.rs
@@ -0,0 +1,165 @@
+//! The agent that owns the cores. A txn's body says what its run does:
+//!
+//! | body begins with | the run |
+//! | --- | --- |
+//! | `hold` | runs until [`Agent::finish`] |
+//! | `call TEXT` | calls below with `TEXT`; its result is the reply |
+//! | `fail` | ends in a fault |
+//! | anything else | gives `done` and the body |
+
+use crate::Watched;
+use base64::prelude::{Engine, BASE64_STANDARD};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+
+#[derive(Default, Debug)]
+struct Farm {
+    up: bool,
+    mute: bool,
+    /// All notices so far; the first has number 1.
+    notices: Vec<Value>,
+    link: Option<TcpStream>,
+    runs: HashMap<String, Vec<u8>>,
+    /// Every command that was read, over all links.
+    heard: Vec<Value>,
+}
+
+#[derive(Clone)]
+pub struct Agent {
+    pub address: SocketAddr,
+    farm: Arc<Watched<Farm>>,
+}
+
+impl Agent {
+    /// Listens; `greet` says whether it is up already.
+    pub fn open(address: &str, greet: bool) -> Agent {
+        let listener = TcpListener::bind(address).expect("an address for the agent");
+        let address = listener.local_addr().expect("an address");
+        let agent = Agent { address, farm: Arc::default() };
+        agent.farm.lock().up = greet;
+        let farm = agent.farm.clone();
+        thread::spawn(move || {
+            for link in listener.incoming().flatten() {
+                let old = farm.lock().link.replace(link.try_clone().expect("a second handle"));
+                old.map(|old| old.shutdown(Shutdown::Both));
+                let farm = farm.clone();
+                thread::spawn(move || serve(&farm, link));
+            }
+        });
+        agent
+    }
+
+    /// Comes up, if it was late.
+    pub fn greet(&self) {
+        self.farm.change(|farm| farm.up = true);
+    }
+
+    /// Answers no more samples, or does so again.
+    pub fn mute(&self, mute: bool) {
+        self.farm.change(|farm| farm.mute = mute);
+    }
+
+    /// Cuts the link; runs go on.
+    pub fn cut(&self) {
+        self.farm.lock().link.take().map(|link| link.shutdown(Shutdown::Both));
+    }
+
+    /// Says something that is no notice.
+    pub fn babble(&self, text: &str) {
+        let farm = self.farm.lock();
+        farm.link.as_ref().map(|mut link| link.write_all(text.as_bytes()));
+    }
+
+    /// Ends a run that holds.
+    pub fn finish(&self, id: &str) {
+        self.farm.change(|farm| {
+            let body = farm.runs.remove(id).expect("a run to finish");
+            farm.outcome(id, "fine", &[b"done ", &body[..]].concat());
+        });
+    }
+
+    /// The first command of this kind for this txn, once it has come.
+    pub fn hears(&self, op: &str, id: &str) -> Value {
+        self.farm.wait(&format!("{op} of {id}"), |farm| {
+            farm.heard.iter().find(|line| line["op"] == op && (id.is_empty() || line["id"] == id)).cloned()
+        })
+    }
+
+    /// How many commands of this kind came for this txn; of all txns for an empty id.
+    pub fn count(&self, op: &str, id: &str) -> usize {
+        let farm = self.farm.lock();
+        farm.heard.iter().filter(|line| line["op"] == op && (id.is_empty() || line["id"] == id)).count()
+    }
+
+    /// Waits until so many commands of this kind have come.
+    pub fn hears_times(&self, op: &str, times: usize) {
+        self.farm.wait(&format!("{op} {times} times"), |farm| {
+            (farm.heard.iter().filter(|line| line["op"] == op).count() >= times).then_some(())
+        });
+    }
+}
+
+impl Farm {
+    fn say(&mut self, line: &Value) {
+        if let Some(link) = &mut self.link {
+            // A cut link gets it later, with the notices.
+            let _ = link.write_all(format!("{line}\n").as_bytes());
+        }
+    }
+
+    fn notice(&mut self, mut line: Value) {
+        line["seq"] = json!(self.notices.len() + 1);
+        self.notices.push(line.clone());
+        self.say(&line);
+    }
+
+    fn outcome(&mut self, id: &str, end: &str, body: &[u8]) {
+        self.notice(
+            json!({"op": "outcome", "id": id, "end": end, "ms": 1.5, "body": BASE64_STANDARD.encode(body)}),
+        );
+    }
+
+    fn take(&mut self, line: &Value) {
+        self.heard.push(line.clone());
+        let id = line["id"].as_str().unwrap_or_default().to_owned();
+        let body = BASE64_STANDARD.decode(line["body"].as_str().unwrap_or_default()).unwrap_or_default();
+        match line["op"].as_str().unwrap_or_default() {
+            "launch" if self.runs.contains_key(&id) => {}
+            "launch" if body.starts_with(b"fail") => self.outcome(&id, "fault", b""),
+            "launch" if body.starts_with(b"call ") => {
+                self.notice(json!({"op": "request", "id": id, "body": BASE64_STANDARD.encode(&body[5..])}));
+                self.runs.insert(id, body);
+            }
+            "launch" if body.starts_with(b"hold") => {
+                self.runs.insert(id, body);
+            }
+            "launch" => self.outcome(&id, "fine", &[b"done ", &body[..]].concat()),
+            "deliver" if self.runs.remove(&id).is_some() => self.outcome(&id, "fine", &body),
+            "forgo" if self.runs.remove(&id).is_some() => self.outcome(&id, "fine", b"poorer"),
+            "freeze" if self.runs.remove(&id).is_some() => self.outcome(&id, "broken_off", b""),
+            "sample" if !self.mute => {
+                self.say(&json!({"op": "sampled", "tag": line["tag"], "values": [0.5, 1, 0.1, 2]}));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn serve(farm: &Watched<Farm>, link: TcpStream) {
+    for line in BufReader::new(link).lines().map_while(Result::ok) {
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { return };
+        if line["op"] == "subscribe" {
+            let after = line["seq"].as_u64().unwrap_or_default() as usize;
+            farm.wait("the agent to come up", |farm| farm.up.then_some(()));
+            let mut farm = farm.lock();
+            farm.say(&json!({"op": "greeting", "end": "running", "ms": 5}));
+            let notices = farm.notices.clone();
+            notices.iter().skip(after).for_each(|notice| farm.say(notice));
+        }
+        farm.change(|farm| farm.take(&line));
+    }
+}
--- /dev/null
+++ b/examples/toy/src/gateway.rs
@@ -0,0 +1,115 @@
+//! One connection of a gateway.
+
+use crate::PATIENCE;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The answer to a tag.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub tag: u64,
+    pub word: String,
+    pub fields: String,
+    pub body: Vec<u8>,
+}
+
+pub struct Gateway {
+    pub stream: TcpStream,
+    input: Vec<u8>,
+    tag: u64,
+}
+
+/// Names are new with every try.
+static NAMES: AtomicU64 = AtomicU64::new(1);
+
+impl Gateway {
+    pub fn open(server: SocketAddr) -> Gateway {
+        let stream = TcpStream::connect(server).expect("a server that accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Gateway { stream, input: Vec::new(), tag: 0 }
+    }
+
+    /// Sends a txn under a new name, which it returns with the tag.
+    pub fn call(&mut self, class: &str, more: &str, body: &[u8]) -> (u64, String) {
+        let name = format!("{:016x}", NAMES.fetch_add(1, Ordering::Relaxed));
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis();
+        let fields = format!("i={name},s={now},f=1,t=acme,h=10.5,m=20.5,p=0.5{more}");
+        self.tag += 1;
+        let tag = self.tag.to_string();
+        self.send(&[b"CALL", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
+        (self.tag, name)
+    }
+
+    pub fn cancel(&mut self, tag: u64) {
+        self.send(&[b"CANCEL", tag.to_string().as_bytes()]);
+    }
+
+    /// The answer to a health check.
+    pub fn check(&mut self) -> Answer {
+        self.tag += 1;
+        let tag = self.tag.to_string();
+        self.send(&[b"CHECK", tag.as_bytes(), b""]);
+        self.answer().expect("an answer to a check")
+    }
+
+    pub fn send(&mut self, elements: &[&[u8]]) {
+        self.stream.write_all(&message(elements)).expect("a connection that takes bytes");
+    }
+
+    /// The next answer, or `None` at the end of the connection. A notice to leave has tag 0.
+    pub fn answer(&mut self) -> Option<Answer> {
+        loop {
+            if let Some((elements, size)) = array(&self.input) {
+                self.input.drain(..size);
+                let text = |at: usize| elements.get(at).map(|e| String::from_utf8_lossy(e).into_owned());
+                return Some(Answer {
+                    tag: text(0).and_then(|tag| tag.parse().ok()).expect("a tag"),
+                    word: text(1).expect("a word"),
+                    fields: text(2).unwrap_or_default(),
+                    body: elements.get(3).cloned().unwrap_or_default(),
+                });
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return None,
+                Ok(count) => self.input.extend(&bytes[..count]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(e) => panic!("no answer: {e}"),
+            }
+        }
+    }
+}
+
+/// An array of bulk strings, as bytes.
+pub fn message(elements: &[&[u8]]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", elements.len()).into_bytes();
+    for element in elements {
+        out.extend(format!("${}\r\n", element.len()).as_bytes());
+        out.extend_from_slice(element);
+        out.extend(b"\r\n");
+    }
+    out
+}
+
+/// The first array, if it is whole, and its size.
+fn array(bytes: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
+    let mut at = 0;
+    let number = |from: &mut usize| -> Option<usize> {
+        let end = bytes[*from..].windows(2).position(|pair| pair == b"\r\n")? + *from;
+        let value = std::str::from_utf8(&bytes[*from + 1..end]).ok()?.parse().ok()?;
+        *from = end + 2;
+        Some(value)
+    };
+    let count = number(&mut at)?;
+    let mut elements = Vec::new();
+    for _ in 0..count {
+        let len = number(&mut at)?;
+        elements.push(bytes.get(at..at + len)?.to_vec());
+        bytes.get(at + len..at + len + 2)?;
+        at += len + 2;
+    }
+    Some((elements, at))
+}
--- /dev/null
+++ b/examples/toy/src/town.rs
@@ -0,0 +1,106 @@
+//! A server process with all its stand-ins round it, on ports that the system gives.
+
+use crate::agent::Agent;
+use crate::gateway::Gateway;
+use crate::http::Place;
+use crate::Watched;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::thread;
+
+/// The example's configuration, on which stories change what they need.
+pub const EXAMPLE: &str = include_str!("../../server.json");
+
+pub struct Town {
+    pub agent: Agent,
+    pub store: Place,
+    pub roster: Place,
+    pub server: SocketAddr,
+    /// Lines of the server's log.
+    pub log: Arc<Watched<Vec<String>>>,
+    pub child: Child,
+}
+
+/// Starts `program` with this configuration; its log comes line by line.
+pub fn start(program: &[&str], text: &str, log: &Arc<Watched<Vec<String>>>) -> Child {
+    static FILES: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let serial = FILES.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path: PathBuf =
+        std::env::temp_dir().join(format!("puffinladder-{}-{serial}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a place for the configuration");
+    let mut child = Command::new(program[0])
+        .args(&program[1..])
+        .env("BALANCER_CONFIG", &path)
+        .env("RUST_LOG", "trace,may=warn")
+        .env_remove("BALANCER_NAME")
+        .env_remove("BALANCER_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the server's program");
+    let (lines, log) = (BufReader::new(child.stderr.take().expect("its log")), log.clone());
+    thread::spawn(move || {
+        let mut lines = lines.lines().map_while(Result::ok);
+        lines.by_ref().for_each(|line| log.change(|log| log.push(line)));
+        log.change(|log| log.push("the log ends".into()));
+        let _ = std::fs::remove_file(path);
+    });
+    child
+}
+
+impl Town {
+    /// A town that serves.
+    pub fn open(program: &[&str], change: impl FnOnce(&mut Value)) -> Town {
+        let town = Town::found(program, true, change);
+        town.agent.hears("sample", "");
+        town
+    }
+
+    /// A town whose agent may not have come up yet.
+    pub fn found(program: &[&str], greet: bool, change: impl FnOnce(&mut Value)) -> Town {
+        let any = "127.0.0.1:0";
+        let (agent, store, roster) = (Agent::open(any, greet), Place::store(any), Place::roster(any));
+        let mut told: Value = serde_json::from_str(EXAMPLE).expect("an example that is JSON");
+        told["listen"] = json!(any);
+        told["agent"] = json!(agent.address);
+        told["store"] = json!(store.address);
+        told["roster"] = json!(roster.address);
+        change(&mut told);
+        let log = Arc::default();
+        let child = start(program, &told.to_string(), &log);
+        let server = log.wait("the server to listen", |log| {
+            log.iter().find_map(|line| line.split_once("listens on ")?.1.parse().ok())
+        });
+        Town { agent, store, roster, server, log, child }
+    }
+
+    pub fn gateway(&self) -> Gateway {
+        Gateway::open(self.server)
+    }
+
+    /// Waits for a line of the log that holds this text.
+    pub fn logs(&self, text: &str) {
+        self.log.wait(text, |log| log.iter().any(|line| line.contains(text)).then_some(()));
+    }
+
+    /// Gives the notice to leave.
+    pub fn term(&self) {
+        let id = self.child.id().to_string();
+        let done = Command::new("kill").args(["-TERM", &id]).status().expect("a kill command");
+        assert!(done.success());
+    }
+
+    pub fn end(&mut self) -> ExitStatus {
+        self.child.wait().expect("an end")
+    }
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
