A connection and a panic leave nothing open; budgets measured

A connection whose coroutine dies takes its place and its txns with it (a guard, as a txn has). Fields m and p out of the protocol's range void their tag: one absurd figure would have had the module turn all others away.

--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -51,35 +51,40 @@
     }
 }
 
+impl House {
+    pub fn new(warrant: Warrant) -> Arc<House> {
+        let (limits, charter) = (Limits::new(&warrant), &warrant.terms.charter);
+        let keys = Keys::new(limits.results, limits.key_over);
+        Arc::new(House {
+            terms: warrant.terms.clone(),
+            clock: Clock::default(),
+            desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
+            agent: Agent::new(limits.unsent_agent),
+            store: Store::default(),
+            gateways: Gateways::default(),
+            living: Living::default(),
+            chores: Chores::default(),
+            alarm: Alarm::default(),
+            tally: Tally::default(),
+            limits,
+            warrant,
+        })
+    }
+}
+
 /// Serves until the time of the kill.
 pub fn run(warrant: Warrant) -> Result<(), String> {
-    let limits = Limits::new(&warrant);
+    let house = House::new(warrant);
+    let (limits, listen) = (&house.limits, house.warrant.listen);
     let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("no signals: {e}"))?;
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
     may.set_worker_pin(false);
     may.set_timeout_ns(1_000_000_000);
     may.set_workers(1).set_stack_size(limits.stack).set_pool_capacity(limits.spare_stacks);
-    let listener = TcpListener::bind(warrant.listen);
-    let listener = listener.map_err(|e| format!("listen {}: {e}", warrant.listen))?;
-    let charter = &warrant.terms.charter;
-    let keys = Keys::new(limits.results, limits.key_over);
-    let house = Arc::new(House {
-        terms: warrant.terms.clone(),
-        clock: Clock::default(),
-        desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
-        agent: Agent::new(limits.unsent_agent),
-        store: Store::default(),
-        gateways: Gateways::default(),
-        living: Living::default(),
-        chores: Chores::default(),
-        alarm: Alarm::default(),
-        tally: Tally::default(),
-        limits,
-        warrant,
-    });
-    let listens =
-        listener.inner().local_addr().map_err(|e| format!("listen {}: {e}", house.warrant.listen))?;
+    let at = |e| format!("listen {listen}: {e}");
+    let listener = TcpListener::bind(listen).map_err(at)?;
+    let listens = listener.inner().local_addr().map_err(at)?;
     log::info!("{} listens on {listens}", house.warrant.name);
     deep(&house, "desk", |house| house.desk.run(house))?;
     deep(&house, "agent", agent::run)?;
@@ -124,3 +129,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_panic_fits_on_the_stack_of_a_txn() {
+        let example = puffinladder_toy::town::EXAMPLE.as_bytes();
+        let limits = Limits::new(&puffinladder_charter::read_warrant(example, None, None).unwrap());
+        let txn = may::go!(Builder::new().stack_size(limits.stack), || panic!("as a txn might"));
+        assert!(txn.unwrap().join().is_err());
+    }
+}
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -12,6 +12,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+/// KB under which a held txn's memory stays, by the protocol.
+const MEMORY: f64 = 2000.0;
+
 /// A txn as it was read.
 pub struct Read {
     pub name: Name,
@@ -49,12 +52,18 @@
             None if terms.customers.is_empty() => 0,
             None => return Err("an unknown tenant"),
         };
+        let memory = number(memory, "a wrong field m")?;
+        let rank = number(rank, "a wrong field p")?;
+        // The module adds these up: one absurd figure would turn all others away.
+        if memory >= MEMORY || rank >= 1.0 {
+            return Err("a field m or p out of range");
+        }
         let news = Txn {
             product,
             customer,
             hint: number(hint, "a wrong field h")? / 1e3,
-            memory: number(memory, "a wrong field m")?,
-            rank: number(rank, "a wrong field p")?,
+            memory,
+            rank,
             caller: number(caller, "a wrong field f")? as u32,
             repeat: repeat == b"1",
             ..Txn::default()
@@ -297,3 +306,41 @@
 pub fn age(stamp: f64) -> f64 {
     (clock::unix() - stamp).max(0.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use may::net::TcpStream;
+    use std::net::TcpListener;
+    use std::panic::{catch_unwind, AssertUnwindSafe};
+
+    #[test]
+    fn a_panic_in_a_txn_still_answers_it_and_sets_its_key_free() {
+        let warrant =
+            puffinladder_charter::read_warrant(puffinladder_toy::town::EXAMPLE.as_bytes(), None, None);
+        let house = House::new(warrant.unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let outlet = Outlet::new(&house, &TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+        let (slip, waits, key) = (Arc::new(Slip::default()), Arc::new(Slip::default()), [b'a'; 32]);
+        outlet.open(7, &slip);
+        let news = Txn { product: 1, ..Txn::default() };
+        let read = Read {
+            name: [b'1'; 16],
+            key: Some(key),
+            stamp: 0.0,
+            news,
+            class: "order".into(),
+            body: Vec::new(),
+        };
+        let id = house.desk.offer(&read, 0.0, &slip).unwrap();
+        house.desk.replay(&key, &waits);
+        let died = catch_unwind(AssertUnwindSafe(|| {
+            let _answer = Answer { house: &house, outlet: &outlet, tag: 7, owed: true };
+            let _place = Place { house: &house, key: Some(key), id, left: false };
+            panic!("as a txn might");
+        }));
+        assert!(died.is_err());
+        assert_eq!(outlet.unsent(), b"*4\r\n$1\r\n7\r\n$3\r\n500\r\n$0\r\n\r\n$0\r\n\r\n");
+        assert!(matches!(waits.wait(), Word::Result(None)));
+    }
+}
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -9,7 +9,6 @@
 use may::net::{TcpListener, TcpStream};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
-use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -25,7 +24,7 @@
 
 /// What a txn keeps of the connection on which its answer is owed; the socket itself may be long gone.
 pub struct Outlet {
-    desk: Mutex<Counter>,
+    counter: Mutex<Counter>,
     waker: WaitIoWaker,
 }
 
@@ -64,8 +63,31 @@
 }
 
 impl Outlet {
+    pub fn new(house: &House, stream: &TcpStream) -> Outlet {
+        let counter = Counter {
+            out: Ring::new(house.limits.buffer, house.limits.unsent),
+            open: HashMap::new(),
+            tags: Tags::default(),
+            closed: false,
+            leaving: None,
+            used: house.clock.now(),
+            checks: false,
+        };
+        Outlet { counter: Mutex::new(counter), waker: stream.waker() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Counter> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+        self.counter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Owes a tag its answer from now on; the slip hears if its gateway stops waiting.
+    #[cfg(test)]
+    pub fn open(&self, tag: u64, slip: &Arc<Slip>) {
+        self.lock().open.insert(tag, slip.clone());
+    }
+    #[cfg(test)]
+    pub fn unsent(&self) -> Vec<u8> {
+        self.lock().out.whole().to_vec()
     }
 
     /// Gives the one answer that a tag is owed; none goes out where the gateway has stopped waiting.
@@ -97,8 +119,7 @@
     /// Asks connections that lay unused for `keep` to be left, and closes those that were not left in time.
     pub fn close_idle(&self, house: &House, keep: f64) {
         let now = house.clock.now();
-        let outlets = self.outlets.lock().unwrap_or_else(PoisonError::into_inner);
-        for outlet in outlets.values() {
+        for outlet in self.lock().values() {
             let mut counter = outlet.lock();
             if !counter.open.is_empty() || counter.closed || counter.checks {
                 continue;
@@ -120,7 +141,11 @@
     }
 
     pub fn count(&self) -> usize {
-        self.outlets.lock().unwrap_or_else(PoisonError::into_inner).len()
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<usize, Arc<Outlet>>> {
+        self.outlets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -148,30 +173,31 @@
     }
 }
 
+/// A connection's place among the others; whatever ends it, its txns count as gone.
+struct Line<'a> {
+    house: &'a House,
+    outlet: Arc<Outlet>,
+    serial: usize,
+}
+
+impl Drop for Line<'_> {
+    fn drop(&mut self) {
+        self.house.gateways.lock().remove(&self.serial);
+        let mut counter = self.outlet.lock();
+        counter.closed = true;
+        self.house.gateways.unsent.fetch_sub(counter.out.len(), Ordering::Relaxed);
+        counter.out = Ring::new(1, 1);
+        counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
+    }
+}
+
 fn serve(house: &Arc<House>, stream: TcpStream, serial: usize) {
-    let counter = Counter {
-        out: Ring::new(house.limits.buffer, house.limits.unsent),
-        open: HashMap::new(),
-        tags: Tags::default(),
-        closed: false,
-        leaving: None,
-        used: house.clock.now(),
-        checks: false,
-    };
-    let outlet = Arc::new(Outlet { desk: Mutex::new(counter), waker: stream.waker() });
-    let outlets = || house.gateways.outlets.lock().unwrap_or_else(PoisonError::into_inner);
-    outlets().insert(serial, outlet.clone());
-    if let Err(what) = talk(house, &stream, &outlet) {
+    let outlet = Arc::new(Outlet::new(house, &stream));
+    house.gateways.lock().insert(serial, outlet.clone());
+    let line = Line { house, outlet, serial };
+    if let Err(what) = talk(house, &stream, &line.outlet) {
         log::warn!("gateway: a connection closed: {what}");
     }
-    outlets().remove(&serial);
-    let mut counter = outlet.lock();
-    counter.closed = true;
-    house.gateways.unsent.fetch_sub(counter.out.len(), Ordering::Relaxed);
-    counter.out = Ring::new(1, 1);
-    counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
-    drop(counter);
-    let _ = stream.shutdown(Shutdown::Both);
 }
 
 /// Reads and writes until the connection ends; an error says what the gateway did wrong.
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -44,6 +44,7 @@
         let farm = agent.farm.clone();
         thread::spawn(move || {
             for link in listener.incoming().flatten() {
+                link.set_nodelay(true).expect("no delay");
                 let old = farm.lock().link.replace(link.try_clone().expect("a second handle"));
                 old.map(|old| old.shutdown(Shutdown::Both));
                 let farm = farm.clone();
--- a/examples/toy/src/http.rs
+++ b/examples/toy/src/http.rs
@@ -48,6 +48,7 @@
         let (calls, ended) = (place.calls.clone(), place.ended.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                stream.set_nodelay(true).expect("no delay");
                 let (calls, ended) = (calls.clone(), ended.clone());
                 thread::spawn(move || {
                     serve(stream, &calls, reply);
