--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -130,9 +130,14 @@
             Ok(stream) => {
                 quiet = false;
                 let _ = stream.set_nodelay(true);
+                let before = heard;
                 let end = talk(house, &stream, &mut heard);
                 house.agent.lock().close();
                 log::warn!("agent: link lost behind notice {heard}: {}", end.unwrap_or_else(|what| what));
+                // A link that brought something is sought again at once.
+                if heard > before {
+                    continue;
+                }
             }
             Err(e) if !std::mem::replace(&mut quiet, true) => log::warn!("agent: not reached yet: {e}"),
             Err(_) => {}
