After a lost link only commands that may not have been heard are said again

Seen in the probe that cuts the agent link: an outcome for a txn no longer in hand. A launch was said again because no notice had come of it yet; its run ended in that moment, and the agent answered the second launch with an outcome of its own. Had the answer not been out, a referenced txn might have run twice. Ruled out: lost or doubled notices (numbers without a gap). At fault: txn.rs, which took a launch without a notice as unheard.

Samples now serve as receipts: what went out before a sample that was answered on the same link has been heard.

--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -182,7 +182,7 @@
 }
 
 /// What the agent was last told of a run and has shown no effect of yet.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy)]
 enum Told {
     Nothing,
     Launch,
@@ -192,6 +192,26 @@
     Forgo,
 }
 
+/// The call at which a run stands: the notice that asked for it, its body and then its reply.
+#[derive(Default)]
+struct Asked {
+    notice: u64,
+    body: Vec<u8>,
+    reply: Vec<u8>,
+}
+
+/// Tells the agent, and gives the stamp under which it went out.
+fn tell(house: &House, told: Told, read: &Read, asked: &Asked) -> u64 {
+    match told {
+        Told::Nothing => 0,
+        Told::Launch => house.agent.launch(&read.name, &read.class, &read.body),
+        Told::Freeze => house.agent.freeze(&read.name),
+        Told::Thaw => house.agent.thaw(&read.name),
+        Told::Deliver => house.agent.deliver(&read.name, &asked.reply),
+        Told::Forgo => house.agent.forgo(&read.name, asked.notice),
+    }
+}
+
 fn live(house: &Arc<House>, read: Read, slip: &Arc<Slip>, outlet: &Outlet, tag: u64) {
     let mut answer = Answer { house, outlet, tag, owed: true };
     let arrived = house.clock.now() - age(read.stamp);
@@ -200,23 +220,18 @@
         return;
     };
     let mut place = Place { house, key: read.key, id, left: false };
-    let (name, key) = (&read.name, read.key.as_ref());
-    let (mut told, mut paused) = (Told::Nothing, false);
-    // The call at which the run stands: the notice that asked for it, its body and then its reply.
-    let (mut notice, mut asked, mut reply) = (0, Vec::new(), Vec::new());
+    let key = read.key.as_ref();
+    let (mut told, mut stamp, mut paused) = (Told::Nothing, 0, false);
+    let mut asked = Asked::default();
     let mut call: Option<Arc<Call>> = None;
     loop {
         let word = slip.wait();
         log::trace!("txn {id}: {}", word.verb());
         match word {
             // Held until the module has judged its wait: it is given to the cores, or turned away undone.
-            Word::Run if paused => {
-                (told, paused) = (Told::Thaw, false);
-                house.agent.thaw(name);
-            }
             Word::Run => {
-                told = Told::Launch;
-                house.agent.launch(name, &read.class, &read.body);
+                told = if std::mem::take(&mut paused) { Told::Thaw } else { Told::Launch };
+                stamp = tell(house, told, &read, &asked);
             }
             Word::Decline { retry_after, last } => {
                 answer.decline(retry_after, last);
@@ -240,23 +255,24 @@
             }
             // The run stands at a call, which goes below once the module lets it.
             Word::AtCall { seq, body } => {
-                (told, notice, asked) = (Told::Nothing, seq, body);
+                told = Told::Nothing;
+                (asked.notice, asked.body) = (seq, body);
                 house.desk.at_call(id);
             }
             Word::Call { limit } => {
-                call = Some(Call::begin(house, *name, asked.clone(), limit, slip));
+                call = Some(Call::begin(house, read.name, asked.body.clone(), limit, slip));
             }
             Word::Returned { outcome, took, body } => {
                 call = None;
                 if outcome == Outcome::Done {
-                    (told, reply) = (Told::Deliver, body);
-                    house.agent.deliver(name, &reply);
+                    (told, asked.reply) = (Told::Deliver, body);
+                    stamp = tell(house, told, &read, &asked);
                 }
                 house.desk.returned(id, outcome, took);
             }
             Word::SkipCall => {
                 told = Told::Forgo;
-                house.agent.forgo(name, notice);
+                stamp = tell(house, told, &read, &asked);
             }
             // Its due time is near, or its gateway has gone: the answer is out, and the run goes on to its end.
             Word::Void => answer.void(),
@@ -266,7 +282,7 @@
             }
             Word::Pause => {
                 (told, paused) = (Told::Freeze, true);
-                house.agent.freeze(name);
+                stamp = tell(house, told, &read, &asked);
             }
             Word::Ended { outcome, took, body } => {
                 if let Some(call) = call.take() {
@@ -289,15 +305,9 @@
                 place.left = true;
                 return;
             }
-            // The link to the agent is new. What it shows no effect of, it has not heard.
-            Word::Resume => match told {
-                Told::Nothing => {}
-                Told::Launch => house.agent.launch(name, &read.class, &read.body),
-                Told::Freeze => house.agent.freeze(name),
-                Told::Thaw => house.agent.thaw(name),
-                Told::Deliver => house.agent.deliver(name, &reply),
-                Told::Forgo => house.agent.forgo(name, notice),
-            },
+            // The link to the agent is new: what it may not have heard, and shows no effect of, is said again.
+            Word::Resume if house.agent.heard(stamp) => {}
+            Word::Resume => stamp = tell(house, told, &read, &asked),
         }
     }
 }
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -23,6 +23,10 @@
     /// Commands go out. While a new link still replays old notices they don't: it is not yet known which of
     /// the earlier ones were heard, and `Word::Resume` has them said again.
     open: bool,
+    /// The last sample asked for and the last one answered: what went out before a sample that was answered on
+    /// the same link has been heard.
+    asked: u64,
+    answered: u64,
     /// When the mark behind the replayed notices was asked for.
     marked: f64,
     broken: bool,
@@ -30,8 +34,15 @@
 
 impl Agent {
     pub fn new(unsent: usize) -> Agent {
-        let link =
-            Link { out: Ring::new(4096, unsent), waker: None, open: false, marked: f64::MAX, broken: false };
+        let link = Link {
+            out: Ring::new(4096, unsent),
+            waker: None,
+            open: false,
+            asked: 0,
+            answered: 0,
+            marked: f64::MAX,
+            broken: false,
+        };
         Agent { link: Mutex::new(link), greeted: AtomicBool::new(false) }
     }
 
@@ -44,31 +55,38 @@
         self.greeted.load(Ordering::Relaxed)
     }
 
-    pub fn launch(&self, name: &Name, class: &str, body: &[u8]) {
+    /// Whether the command that got this stamp has been heard for sure.
+    pub fn heard(&self, stamp: u64) -> bool {
+        stamp < self.lock().answered
+    }
+
+    pub fn launch(&self, name: &Name, class: &str, body: &[u8]) -> u64 {
         let mut line = command("launch", name);
         line.extend_from_slice(b",\"class\":");
         line.extend_from_slice(Value::from(class).to_string().as_bytes());
         put_body(&mut line, body);
-        self.send(line);
+        self.send(line)
     }
-    pub fn freeze(&self, name: &Name) {
-        self.send(command("freeze", name));
+    pub fn freeze(&self, name: &Name) -> u64 {
+        self.send(command("freeze", name))
     }
-    pub fn thaw(&self, name: &Name) {
-        self.send(command("thaw", name));
+    pub fn thaw(&self, name: &Name) -> u64 {
+        self.send(command("thaw", name))
     }
-    pub fn deliver(&self, name: &Name, body: &[u8]) {
+    pub fn deliver(&self, name: &Name, body: &[u8]) -> u64 {
         let mut line = command("deliver", name);
         put_body(&mut line, body);
-        self.send(line);
+        self.send(line)
     }
-    pub fn forgo(&self, name: &Name, notice: u64) {
+    pub fn forgo(&self, name: &Name, notice: u64) -> u64 {
         let mut line = command("forgo", name);
         line.extend_from_slice(format!(",\"seq\":{notice}").as_bytes());
-        self.send(line);
+        self.send(line)
     }
+    /// Asks for the gauges; tags rise.
     pub fn sample(&self, tag: u64) {
         self.send(format!("{{\"op\":\"sample\",\"tag\":\"{tag}\"").into_bytes());
+        self.lock().asked = tag;
     }
 
     /// Breaks a new link whose mark was asked for before `since` and has not come: without it nothing may go out.
@@ -80,12 +98,14 @@
         }
     }
 
-    /// Sends an object that lacks its end; one that can't go now is not kept.
-    fn send(&self, line: Vec<u8>) {
+    /// Sends an object that lacks its end, and says under which stamp; one that can't go now is not kept.
+    fn send(&self, line: Vec<u8>) -> u64 {
         let mut link = self.lock();
-        if link.open {
-            link.put(line);
+        if !link.open {
+            return u64::MAX;
         }
+        link.put(line);
+        link.asked
     }
 }
 
@@ -190,6 +210,14 @@
     }
 }
 
+/// Lets commands out, if they were not: all notices of old are read, and txns say again what was not heard.
+fn open(house: &House) {
+    if !std::mem::replace(&mut house.agent.lock().open, true) {
+        house.desk.resume();
+        house.desk.start();
+    }
+}
+
 /// The tag of the sample that marks where replayed notices end.
 const MARK: &str = "mark";
 
@@ -215,18 +243,18 @@
     };
     match word("op") {
         "greeting" => {
-            let first = !house.agent.greeted.swap(true, Ordering::Relaxed);
             log::info!("agent: link is up, the agent is {}", word("end"));
             let mut link = house.agent.lock();
-            (link.open, link.marked) = (first, house.clock.now());
+            link.marked = house.clock.now();
             link.put(format!("{{\"op\":\"sample\",\"tag\":\"{MARK}\"").into_bytes());
+            drop(link);
+            // The first link has nothing old to tell.
+            if !house.agent.greeted.swap(true, Ordering::Relaxed) {
+                open(house);
+            }
         }
         "sampled" if word("tag") == MARK => {
-            // All notices of old are read: what shows no effect by now was never heard.
-            if !std::mem::replace(&mut house.agent.lock().open, true) {
-                house.desk.resume();
-            }
-            house.desk.start();
+            open(house);
         }
         "sampled" => {
             let mut gauges = Gauges::default();
@@ -235,6 +263,7 @@
                 meter.show(value.as_f64().unwrap_or_default(), &mut gauges);
             }
             if let Ok(tag) = word("tag").parse() {
+                house.agent.lock().answered = tag;
                 house.desk.gauges(tag, gauges);
             }
         }
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -305,6 +305,24 @@
     assert_eq!(answer(&mut gateway, tag).word, "200");
 }
 
+#[test]
+fn a_launch_that_was_heard_is_not_said_again_on_a_new_link() {
+    // Said again in the moment in which its run ends, it could run twice.
+    let town = town();
+    let mut gateway = town.gateway();
+    let (tag, name) = gateway.call("order", KEY, b"hold");
+    town.agent.hears("launch", &name);
+    let samples = town.agent.count("sample", "");
+    town.agent.hears_times("sample", samples + 3);
+    town.agent.cut();
+    town.agent.hears_times("subscribe", 2);
+    let samples = town.agent.count("sample", "");
+    town.agent.hears_times("sample", samples + 3);
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut gateway, tag).word, "200");
+    assert_eq!(town.agent.count("launch", &name), 1);
+}
+
 #[test]
 fn a_line_that_cannot_be_read_breaks_the_link_only() {
     let town = town();
