One set of news for both hosts; the last sizes moved into Limits

The news between two rounds stood twice, in the adapter and in the desk; it is now the library's News, with what both did to it. Sizes and times that stood beside the code (remembered tags, the grain of stamps, a buffer, a stack, the worker's sleep) are in Limits.

--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,6 +1,6 @@
 //! Frames and records of the wire: batches in, replies out.
 
-use puffinladder::{Brain, End, Gauges, Outcome, Round, Txn, Writer};
+use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
 use puffinladder_charter::Meter;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read};
@@ -126,31 +126,8 @@
     /// How many products its charter names.
     products: usize,
     news: News,
-}
-
-#[derive(Default)]
-struct News {
+    /// It has news in this batch.
     touched: bool,
-    returned: Vec<End>,
-    at_call: Vec<u32>,
-    ended: Vec<End>,
-    gone: Vec<u32>,
-    arrived: Vec<Txn>,
-    leave: Option<f64>,
-    wake: Option<Gauges>,
-}
-
-impl News {
-    fn clear(&mut self) {
-        self.touched = false;
-        self.returned.clear();
-        self.at_call.clear();
-        self.ended.clear();
-        self.gone.clear();
-        self.arrived.clear();
-        self.leave = None;
-        self.wake = None;
-    }
 }
 
 /// All instances of this process.
@@ -186,28 +163,12 @@
             let Some(instance) = self.instances.get_mut(id) else {
                 continue;
             };
-            let news = &mut instance.news;
-            if !news.touched {
+            if !std::mem::take(&mut instance.touched) {
                 continue;
             }
-            // A txn that came and went in one batch needs no decision.
-            let gone = &news.gone;
-            if !gone.is_empty() {
-                news.arrived.retain(|txn| !gone.contains(&txn.id));
-            }
-            let round = Round {
-                now: header.now,
-                returned: &news.returned,
-                at_call: &news.at_call,
-                ended: &news.ended,
-                gone: &news.gone,
-                arrived: &news.arrived,
-                leave: news.leave,
-                wake: news.wake,
-            };
             self.reply.context = Some(*id);
-            instance.brain.round(&round, &mut self.reply);
-            news.clear();
+            instance.brain.round(&instance.news.round(header.now), &mut self.reply);
+            instance.news.clear();
         }
         Ok(())
     }
@@ -227,9 +188,10 @@
             let len = fields.u32()? as usize;
             let terms = puffinladder_charter::read_terms(fields.take(len)?)?;
             let brain = Brain::new(&terms.charter, seed);
-            let news = News { touched: true, ..News::default() };
             let products = terms.charter.products.len();
-            self.instances.insert(id, Instance { brain, meters: terms.meters, products, news });
+            let news = News::default();
+            self.instances
+                .insert(id, Instance { brain, meters: terms.meters, products, news, touched: true });
             self.order.push(id);
             return Ok(());
         }
@@ -241,8 +203,7 @@
             return Ok(());
         }
         let news = &mut instance.news;
-        if !news.touched {
-            news.touched = true;
+        if !std::mem::replace(&mut instance.touched, true) {
             self.order.push(id);
         }
         match code {
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -5,7 +5,7 @@
 use crate::memory::keys::{Key, Keys};
 use crate::txn::{self, Read};
 use may::coroutine::{self, Coroutine};
-use puffinladder::{Brain, End, Gauges, Outcome, Round, Txn, Writer};
+use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -26,6 +26,9 @@
     hands: Hands,
     keys: Keys,
     news: News,
+    /// When each arrival among the news came to the machine, by the Unix clock; whether there is any news.
+    stamps: Vec<f64>,
+    any: bool,
     /// When the module wants its next beat; whether its gauges were asked for, and under which tag.
     wake_at: f64,
     asked: Option<u64>,
@@ -35,33 +38,6 @@
     chores_at: f64,
 }
 
-/// What came in since the last round.
-#[derive(Default)]
-struct News {
-    returned: Vec<End>,
-    at_call: Vec<u32>,
-    ended: Vec<End>,
-    gone: Vec<u32>,
-    arrived: Vec<Txn>,
-    /// When each arrival came to the machine, by the Unix clock.
-    stamps: Vec<f64>,
-    leave: Option<f64>,
-    any: bool,
-}
-
-impl News {
-    fn clear(&mut self) {
-        self.returned.clear();
-        self.at_call.clear();
-        self.ended.clear();
-        self.gone.clear();
-        self.arrived.clear();
-        self.stamps.clear();
-        self.leave = None;
-        self.any = false;
-    }
-}
-
 impl Desk {
     pub fn new(brain: Brain, keys: Keys, idle: f64) -> Desk {
         let plan = Plan {
@@ -69,6 +45,8 @@
             hands: Hands::default(),
             keys,
             news: News::default(),
+            stamps: Vec::new(),
+            any: false,
             wake_at: f64::MAX,
             asked: None,
             gauges: None,
@@ -99,7 +77,7 @@
     fn tell(&self, news: impl FnOnce(&mut News)) {
         let mut plan = self.plan();
         news(&mut plan.news);
-        plan.news.any = true;
+        plan.any = true;
         drop(plan);
         self.ring();
     }
@@ -110,8 +88,8 @@
         let id = plan.hands.take(read.name, read.key, slip.clone())?;
         let forerunner = read.key.and_then(|key| plan.keys.read(key, id, arrived));
         plan.news.arrived.push(Txn { id, forerunner: forerunner.unwrap_or(0), ..read.news });
-        plan.news.stamps.push(read.stamp);
-        plan.news.any = true;
+        plan.stamps.push(read.stamp);
+        plan.any = true;
         drop(plan);
         self.ring();
         Some(id)
@@ -220,43 +198,30 @@
             plan.wake_at = now + house.limits.gauges.as_secs_f64();
             house.agent.sample(plan.tag);
         }
-        if plan.news.any || wake.is_some() {
+        if plan.any || wake.is_some() {
             self.round(&mut plan, now, wake);
         }
         house.alarm.set(plan.wake_at.min(plan.chores_at) - now);
     }
 
     fn round(&self, plan: &mut Plan, now: f64, wake: Option<Gauges>) {
-        let Plan { brain, hands, keys, news, wake_at, keep, .. } = plan;
-        // A txn that came and went before a round needs no decision.
-        let gone = &news.gone;
-        for (txn, stamp) in news.arrived.iter_mut().zip(&news.stamps) {
-            txn.unread = txn::age(*stamp);
+        let Plan { brain, hands, keys, news, stamps, wake_at, keep, .. } = plan;
+        for (txn, stamp) in news.arrived.iter_mut().zip(stamps.drain(..)) {
+            txn.unread = txn::age(stamp);
         }
-        if !gone.is_empty() {
-            news.arrived.retain(|txn| !gone.contains(&txn.id));
-        }
-        let round = Round {
-            now,
-            returned: &news.returned,
-            at_call: &news.at_call,
-            ended: &news.ended,
-            gone,
-            arrived: &news.arrived,
-            leave: news.leave,
-            wake,
-        };
+        news.wake = wake;
         for end in &news.ended {
             hands.drop(end.id);
         }
         let mut pen = Pen { desk: self, hands, keys, now, wake_at, keep };
-        brain.round(&round, &mut pen);
+        brain.round(&news.round(now), &mut pen);
         for &id in &news.gone {
             if hands.get_mut(id).is_some_and(|hand| !hand.running) {
                 over(hands, keys, id, Word::Over);
             }
         }
         news.clear();
+        plan.any = false;
     }
 }
 
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -54,12 +54,12 @@
 impl House {
     pub fn new(warrant: Warrant) -> Arc<House> {
         let (limits, charter) = (Limits::new(&warrant), &warrant.terms.charter);
-        let keys = Keys::new(limits.results, limits.key_over);
+        let keys = Keys::new(limits.results, limits.key_grain, limits.key_over);
         Arc::new(House {
             terms: warrant.terms.clone(),
             clock: Clock::default(),
             desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
-            agent: Agent::new(limits.unsent_agent),
+            agent: Agent::new(limits.buffer, limits.unsent_agent),
             store: Store::default(),
             gateways: Gateways::default(),
             living: Living::default(),
@@ -80,7 +80,7 @@
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
     may.set_worker_pin(false);
-    may.set_timeout_ns(1_000_000_000);
+    may.set_timeout_ns(limits.idle_poll.as_nanos() as u64);
     may.set_workers(1).set_stack_size(limits.stack).set_pool_capacity(limits.spare_stacks);
     let at = |e| format!("listen {listen}: {e}");
     let listener = TcpListener::bind(listen).map_err(at)?;
@@ -92,7 +92,7 @@
     deep(&house, "listener", move |house| gateway::listen(house, listener))?;
     let told = house.clone();
     let notice = move || heed(&told, signals);
-    let watch = thread::Builder::new().name("signals".into()).stack_size(1 << 17);
+    let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_signals);
     watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
     loop {
         house.alarm.wait(house.limits.chores);
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -14,6 +14,8 @@
     pub txns: usize,
     /// Txns open on one connection.
     pub open: usize,
+    /// Used tags above an unused one that a connection remembers: far more than may be open, so any order passes.
+    pub tags: usize,
     /// Bytes of a body that a gateway sends, and of all else in one of its messages.
     pub body: usize,
     pub message: usize,
@@ -30,7 +32,10 @@
     pub reply: usize,
     /// Bytes of results kept for replays.
     pub results: usize,
-    /// How long past its window a key stays known: a try may lie unread that long.
+    /// By how much two stamps, which are whole milliseconds, may lie nearer than their txns: a key holds that
+    /// much past its window.
+    pub key_grain: f64,
+    /// How long past that a key stays known: a try may lie unread that long.
     pub key_over: f64,
     /// A connection's buffer shrinks back to this when it runs empty.
     pub buffer: usize,
@@ -38,8 +43,12 @@
     pub stack: usize,
     /// The same where JSON is read and lines are logged.
     pub stack_deep: usize,
+    /// Stack of the thread that waits for signals, in bytes.
+    pub stack_signals: usize,
     /// Coroutines kept for the next txn.
     pub spare_stacks: usize,
+    /// How long the worker sleeps while nothing happens.
+    pub idle_poll: Duration,
     /// Between lines that sum up what was done.
     pub summary: f64,
     /// Between looks at what is idle, stuck or late to be tried again.
@@ -69,6 +78,7 @@
             // Each may touch its whole stack and hold a body: at most 45% of the memory.
             txns: (memory * 45 / 100 / (32768 + 4096)).max(64),
             open: 32,
+            tags: 256,
             body: 2048,
             message: 4096,
             turn: 65536,
@@ -79,11 +89,14 @@
             head: 4096,
             reply: 32768,
             results: memory / 8,
+            key_grain: 0.002,
             key_over: 2.0,
             buffer: 4096,
             stack: 4096,
             stack_deep: 32768,
+            stack_signals: 131_072,
             spare_stacks: 64,
+            idle_poll: Duration::from_secs(1),
             summary: 10.0,
             chores: Duration::from_millis(100),
             gauges: Duration::from_millis(10),
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -7,9 +7,6 @@
 /// The 32 hex digits by which all tries of one txn are known, as they came.
 pub type Key = [u8; 32];
 
-/// s by which a stamp may be off, and the same again for the one it is compared with.
-const STAMP: f64 = 0.002;
-
 /// How far the try that holds the key has come.
 enum Course {
     /// It waits, or runs; those who wait for its result.
@@ -32,14 +29,15 @@
     results: VecDeque<(u32, Key)>,
     kept: usize,
     most: usize,
+    grain: f64,
     over: f64,
 }
 
 impl Keys {
-    /// Keeps `most` bytes of results, and each key for `over` seconds past its end.
-    pub fn new(most: usize, over: f64) -> Keys {
+    /// Keeps `most` bytes of results; a key ends `grain` seconds late and stays known for `over` more.
+    pub fn new(most: usize, grain: f64, over: f64) -> Keys {
         let (ends, results) = (VecDeque::new(), VecDeque::new());
-        Keys { entries: HashMap::new(), ends, results, kept: 0, most, over }
+        Keys { entries: HashMap::new(), ends, results, kept: 0, most, grain, over }
     }
 
     /// The try that holds this key, or else `id` holds it from now on.
@@ -55,10 +53,10 @@
         }
     }
 
-    /// Holds the key to `until`. Stamps are whole milliseconds, so two of them may lie nearer than their txns.
+    /// Holds the key to `until` at the least.
     pub fn remember(&mut self, key: &Key, id: u32, until: f64) {
         if let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) {
-            entry.until = until + STAMP;
+            entry.until = until + self.grain;
         }
     }
 
@@ -136,7 +134,7 @@
     use super::*;
 
     fn keys() -> Keys {
-        Keys::new(10, 2.0)
+        Keys::new(10, 0.002, 2.0)
     }
     fn heard(slip: &Slip) -> Option<Vec<u8>> {
         match slip.wait() {
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -33,9 +33,9 @@
 }
 
 impl Agent {
-    pub fn new(unsent: usize) -> Agent {
+    pub fn new(buffer: usize, unsent: usize) -> Agent {
         let link = Link {
-            out: Ring::new(4096, unsent),
+            out: Ring::new(buffer, unsent),
             waker: None,
             open: false,
             asked: 0,
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -12,9 +12,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How many used tags above an unused one are remembered: more than may be open, so that any order passes.
-const TAGS: usize = 256;
-
 /// All connections, and the bytes that wait for them together.
 #[derive(Default)]
 pub struct Gateways {
@@ -47,15 +44,15 @@
 }
 
 impl Tags {
-    /// Whether the tag is new.
-    fn take(&mut self, tag: u64) -> bool {
+    /// Whether the tag is new; at most `most` of those above an unused one are remembered.
+    fn take(&mut self, tag: u64, most: usize) -> bool {
         if tag <= self.all_to || !self.above.insert(tag) {
             return false;
         }
         while self.above.remove(&(self.all_to + 1)) {
             self.all_to += 1;
         }
-        if self.above.len() > TAGS {
+        if self.above.len() > most {
             self.above.pop_first();
         }
         true
@@ -257,7 +254,7 @@
         b"CALL" | b"CHECK" => {}
         _ => return Err("an unknown verb".into()),
     }
-    if !counter.tags.take(tag) {
+    if !counter.tags.take(tag, house.limits.tags) {
         return Err(format!("tag {tag} used again"));
     }
     if array.at(0) == b"CHECK" {
@@ -284,3 +281,21 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tags_come_in_any_order_but_each_only_once() {
+        let mut tags = Tags::default();
+        for tag in [3, 1, 2, 9, 4] {
+            assert!(tags.take(tag, 8) && !tags.take(tag, 8), "{tag}");
+        }
+        assert_eq!((tags.all_to, tags.above.len()), (4, 1));
+        for tag in (100..10_000).rev().step_by(2) {
+            assert!(tags.take(tag, 8), "{tag}");
+        }
+        assert!(tags.take(5, 8) && !tags.take(1, 8) && tags.above.len() <= 8);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -258,6 +258,47 @@
     pub wake: Option<Gauges>,
 }
 
+/// What came in since the last round, for hosts that hear it piece by piece.
+#[derive(Debug, Default)]
+pub struct News {
+    pub returned: Vec<End>,
+    pub at_call: Vec<u32>,
+    pub ended: Vec<End>,
+    pub gone: Vec<u32>,
+    pub arrived: Vec<Txn>,
+    pub leave: Option<f64>,
+    pub wake: Option<Gauges>,
+}
+
+impl News {
+    /// All of it as one round. A txn that came and went before needs no decision.
+    pub fn round(&mut self, now: f64) -> Round<'_> {
+        let gone = &self.gone;
+        if !gone.is_empty() {
+            self.arrived.retain(|txn| !gone.contains(&txn.id));
+        }
+        Round {
+            now,
+            returned: &self.returned,
+            at_call: &self.at_call,
+            ended: &self.ended,
+            gone: &self.gone,
+            arrived: &self.arrived,
+            leave: self.leave,
+            wake: self.wake,
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.returned.clear();
+        self.at_call.clear();
+        self.ended.clear();
+        self.gone.clear();
+        self.arrived.clear();
+        (self.leave, self.wake) = (None, None);
+    }
+}
+
 /// What a brain may ask of its host.
 pub trait Writer {
     /// Give a held txn to the cores.
