The log goes out through a thread of its own: an unread log stops nothing

A story that stops reading the log and traces 3,000 txns hung: the worker stood in its write to a full pipe. Lines now pass through a bounded queue, and what is left out is counted. Without the queue the story fails.

--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod alarm;
 pub mod chores;
+pub mod journal;
 pub mod tally;
 
 use crate::clock::Clock;
@@ -47,6 +48,7 @@
 impl Drop for Vital {
     fn drop(&mut self) {
         log::error!("{} has ended", self.0);
+        journal::end();
         std::process::exit(70);
     }
 }
@@ -76,6 +78,7 @@
 pub fn run(warrant: Warrant) -> Result<(), String> {
     let house = House::new(warrant);
     let (limits, listen) = (&house.limits, house.warrant.listen);
+    journal::start(limits)?;
     let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("no signals: {e}"))?;
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
@@ -92,13 +95,14 @@
     deep(&house, "listener", move |house| gateway::listen(house, listener))?;
     let told = house.clone();
     let notice = move || heed(&told, signals);
-    let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_signals);
+    let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_thread);
     watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
     loop {
         house.alarm.wait(house.limits.chores);
         house.desk.ring();
         if house.desk.kill().is_some_and(|kill| house.clock.now() > kill) {
             log::info!("{} ends", house.warrant.name);
+            journal::end();
             return Ok(());
         }
     }
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -43,8 +43,10 @@
     pub stack: usize,
     /// The same where JSON is read and lines are logged.
     pub stack_deep: usize,
-    /// Stack of the thread that waits for signals, in bytes.
-    pub stack_signals: usize,
+    /// Stack of the threads for signals and for the log, in bytes.
+    pub stack_thread: usize,
+    /// Lines of the log that wait for a slow reader; more are left out.
+    pub log_lines: usize,
     /// Coroutines kept for the next txn.
     pub spare_stacks: usize,
     /// How long the worker sleeps while nothing happens.
@@ -94,7 +96,8 @@
             buffer: 4096,
             stack: 4096,
             stack_deep: 32768,
-            stack_signals: 131_072,
+            stack_thread: 131_072,
+            log_lines: 1024,
             spare_stacks: 64,
             idle_poll: Duration::from_secs(1),
             summary: 10.0,
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -11,7 +11,6 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,may=warn")).init();
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::Shutdown;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -439,6 +440,17 @@
     still_serves(&town);
 }
 
+#[test]
+fn a_log_that_nobody_reads_stops_nothing() {
+    let town = town();
+    town.deaf.store(true, Ordering::Relaxed);
+    let mut gateway = town.gateway();
+    // Every txn is traced: far more than a pipe holds.
+    for _ in 0..3000 {
+        assert_eq!(word(&mut gateway, "quote", "", b"traced"), "200");
+    }
+}
+
 #[test]
 fn a_wrong_configuration_is_named_by_its_key_before_listening() {
     let cases = [
@@ -452,7 +464,7 @@
     ];
     for (text, key) in cases {
         let log = Arc::default();
-        let mut child = start(SERVER, text, &log);
+        let mut child = start(SERVER, text, &log, &Arc::default());
         assert!(!child.wait().unwrap().success(), "{key}");
         log.wait("the log's end", |log| log.iter().any(|line| line == "the log ends").then_some(()));
         let lines = log.lock().join("\n");
--- a/examples/toy/src/town.rs
+++ b/examples/toy/src/town.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 
@@ -22,13 +23,15 @@
     pub server: SocketAddr,
     /// Lines of the server's log.
     pub log: Arc<Watched<Vec<String>>>,
+    /// Nobody reads the log any more.
+    pub deaf: Arc<AtomicBool>,
     pub child: Child,
 }
 
 /// Starts `program` with this configuration; its log comes line by line.
-pub fn start(program: &[&str], text: &str, log: &Arc<Watched<Vec<String>>>) -> Child {
-    static FILES: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let serial = FILES.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+pub fn start(program: &[&str], text: &str, log: &Arc<Watched<Vec<String>>>, deaf: &Arc<AtomicBool>) -> Child {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let serial = FILES.fetch_add(1, Ordering::Relaxed);
     let path: PathBuf =
         std::env::temp_dir().join(format!("puffinladder-{}-{serial}.json", std::process::id()));
     std::fs::write(&path, text).expect("a place for the configuration");
@@ -42,9 +45,15 @@
         .spawn()
         .expect("the server's program");
     let (lines, log) = (BufReader::new(child.stderr.take().expect("its log")), log.clone());
+    let deaf = deaf.clone();
     thread::spawn(move || {
         let mut lines = lines.lines().map_while(Result::ok);
-        lines.by_ref().for_each(|line| log.change(|log| log.push(line)));
+        lines.by_ref().for_each(|line| {
+            log.change(|log| log.push(line));
+            while deaf.load(Ordering::Relaxed) {
+                thread::park();
+            }
+        });
         log.change(|log| log.push("the log ends".into()));
         let _ = std::fs::remove_file(path);
     });
@@ -69,12 +78,12 @@
         told["store"] = json!(store.address);
         told["roster"] = json!(roster.address);
         change(&mut told);
-        let log = Arc::default();
-        let child = start(program, &told.to_string(), &log);
+        let (log, deaf) = (Arc::default(), Arc::default());
+        let child = start(program, &told.to_string(), &log, &deaf);
         let server = log.wait("the server to listen", |log| {
             log.iter().find_map(|line| line.split_once("listens on ")?.1.parse().ok())
         });
-        Town { agent, store, roster, server, log, child }
+        Town { agent, store, roster, server, log, deaf, child }
     }
 
     pub fn gateway(&self) -> Gateway {
