A connection's buffers stay with it; one way to read for all links

The match on what a read brought stood in four places; it is now Ring::fill_from. Pooled connections to the store keep their two rings. Stories for runs that never began, leaving the roster, no roster and idle store connections.

--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -1,6 +1,6 @@
 //! The link to the agent that owns the cores: commands out, numbered notices in, one JSON object a line.
 
-use super::ring::Ring;
+use super::ring::{Filled, Ring};
 use crate::life::House;
 use crate::memory::hands::{Name, Word};
 use base64::prelude::{Engine, BASE64_STANDARD};
@@ -8,7 +8,6 @@
 use may::net::TcpStream;
 use puffinladder::{Gauges, Outcome};
 use serde_json::Value;
-use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -183,12 +182,10 @@
     }
     loop {
         loop {
-            match input.fill_from(stream.inner()) {
-                Ok(0) => return Ok("closed by the agent".into()),
-                Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Ok(e.to_string()),
+            match input.fill_from(stream.inner()).map_err(|e| e.to_string())? {
+                Filled::Bytes(_) => {}
+                Filled::NotYet => break,
+                Filled::Ended => return Ok("closed by the agent".into()),
             }
             while let Some(end) = input.whole().iter().position(|&b| b == b'\n') {
                 let line = serde_json::from_slice(&input.whole()[..end]);
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -1,14 +1,13 @@
 //! Connections of gateways: one coroutine each, which alone reads and writes it.
 
 use super::resp::{self, Array};
-use super::ring::Ring;
+use super::ring::{Filled, Ring};
 use crate::life::House;
 use crate::memory::hands::{Slip, Word};
 use crate::txn;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use std::collections::{BTreeSet, HashMap};
-use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -204,11 +203,9 @@
         let mut count = 0;
         let (ended, more) = loop {
             match input.fill_from(stream.inner()) {
-                Ok(0) => break (true, false),
-                Ok(more) => count += more,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break (false, false),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break (true, false),
+                Ok(Filled::Bytes(more)) => count += more,
+                Ok(Filled::NotYet) => break (false, false),
+                Ok(Filled::Ended) | Err(_) => break (true, false),
             }
             while let Some(array) = resp::array(input.whole(), house.limits.body)? {
                 let size = array.size;
--- a/crates/server/src/wire/ring.rs
+++ b/crates/server/src/wire/ring.rs
@@ -15,6 +15,15 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Full;
 
+/// What one read brought.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Filled {
+    Bytes(usize),
+    /// Nothing now; the connection tells when there is more.
+    NotYet,
+    Ended,
+}
+
 impl Ring {
     pub fn new(least: usize, most: usize) -> Ring {
         Ring { bytes: Box::default(), head: 0, len: 0, least: least.clamp(1, most), most }
@@ -89,8 +98,8 @@
         }
     }
 
-    /// One read into the free room; 0 bytes is the end. There must be room.
-    pub fn fill_from(&mut self, mut source: impl Read) -> io::Result<usize> {
+    /// One read into the free room, of which there must be some.
+    pub fn fill_from(&mut self, mut source: impl Read) -> io::Result<Filled> {
         if self.bytes.len() == self.len {
             let more = (self.most - self.len).clamp(1, self.least);
             self.grow(more).map_err(|Full| io::Error::from(io::ErrorKind::OutOfMemory))?;
@@ -98,9 +107,18 @@
         let size = self.bytes.len();
         let tail = (self.head + self.len) % size;
         let end = if tail < self.head { self.head } else { size };
-        let count = source.read(&mut self.bytes[tail..end])?;
-        self.len += count;
-        Ok(count)
+        loop {
+            match source.read(&mut self.bytes[tail..end]) {
+                Ok(0) => return Ok(Filled::Ended),
+                Ok(count) => {
+                    self.len += count;
+                    return Ok(Filled::Bytes(count));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Filled::NotYet),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
     }
 
     /// Writes as much as the other side takes without waiting; whether all of it went.
@@ -147,7 +165,7 @@
         ring.put(b"abcdef").unwrap();
         assert_eq!(ring.put(b"ghi"), Err(Full));
         assert_eq!(ring.whole(), b"abcdef");
-        assert_eq!(ring.fill_from(&b"ghijk"[..]).unwrap(), 2);
+        assert_eq!(ring.fill_from(&b"ghijk"[..]).unwrap(), Filled::Bytes(2));
         assert!(ring.is_full() && ring.fill_from(&b"k"[..]).is_err());
         let mut out = Vec::new();
         assert!(ring.drain_to(&mut out).unwrap() && ring.is_empty());
--- a/crates/server/src/wire/roster.rs
+++ b/crates/server/src/wire/roster.rs
@@ -1,7 +1,7 @@
 //! Reports to the roster. Trouble here touches nothing else.
 
 use super::http;
-use super::ring::Ring;
+use super::ring::{Filled, Ring};
 use crate::life::House;
 use may::net::TcpStream;
 use std::io::{self, Write};
@@ -48,7 +48,7 @@
     stream.write_all(format!("{head}{body}").as_bytes())?;
     let mut input = Ring::new(house.limits.buffer, house.limits.head + house.limits.reply);
     loop {
-        if input.fill_from(&mut *stream)? == 0 {
+        if !matches!(input.fill_from(&mut *stream)?, Filled::Bytes(_)) {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let reply = http::reply(input.whole(), house.limits.head, house.limits.reply);
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -1,7 +1,7 @@
 //! Calls to the store: pooled connections, one call each at a time, each call in a coroutine of its own.
 
 use super::http;
-use super::ring::Ring;
+use super::ring::{Filled, Ring};
 use crate::life::House;
 use crate::memory::hands::{Name, Slip, Word};
 use may::io::{WaitIo, WaitIoWaker};
@@ -14,12 +14,19 @@
 #[derive(Default)]
 pub struct Store {
     /// Unused connections, and since when.
-    idle: Mutex<Vec<(TcpStream, f64)>>,
+    idle: Mutex<Vec<(Line, f64)>>,
     /// Connections in all, and the calls that are out.
     open: AtomicUsize,
     calls: Mutex<Vec<Arc<Call>>>,
 }
 
+/// One connection, with a buffer a direction.
+struct Line {
+    stream: TcpStream,
+    input: Ring,
+    out: Ring,
+}
+
 /// A call that is out.
 pub struct Call {
     deadline: f64,
@@ -90,9 +97,10 @@
         limit: f64,
     ) -> Result<(Outcome, Vec<u8>), Stop> {
         let mut held = self.connection(house)?;
-        let Some(stream) = &held.stream else { return Err(Stop::Ended(Outcome::Unreachable)) };
+        let Some(Line { stream, input, out }) = &mut held.line else {
+            return Err(Stop::Ended(Outcome::Unreachable));
+        };
         *self.waker.lock().unwrap_or_else(PoisonError::into_inner) = Some(stream.waker());
-        let mut out = Ring::new(house.limits.buffer, house.limits.line + house.limits.head);
         let name = String::from_utf8_lossy(name);
         let wait = (limit * 1e3).ceil();
         let head = format!(
@@ -102,7 +110,6 @@
         if out.put(head.as_bytes()).and_then(|()| out.put(body)).is_err() {
             return Err(Stop::Ended(Outcome::Moot));
         }
-        let mut input = Ring::new(house.limits.buffer, house.limits.head + house.limits.reply);
         // Once a byte may have gone, a break proves nothing.
         let broken = Stop::Ended(Outcome::BrokenOff);
         loop {
@@ -111,18 +118,18 @@
             }
             loop {
                 match input.fill_from(stream.inner()) {
-                    Ok(0) => return Err(broken),
-                    Ok(_) => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(_) => return Err(broken),
+                    Ok(Filled::Bytes(_)) => {}
+                    Ok(Filled::NotYet) => break,
+                    Ok(Filled::Ended) | Err(_) => return Err(broken),
                 }
                 match http::reply(input.whole(), house.limits.head, house.limits.reply) {
                     Ok(None) => {}
                     Ok(Some(reply)) => {
                         let outcome = outcome(reply.status, reply.not_run);
                         let (stays, size, body) = (reply.stays, reply.size, reply.body.to_vec());
-                        held.reusable = stays && out.is_empty() && size == input.len();
+                        let clean = out.is_empty() && size == input.len();
+                        input.consume(size);
+                        held.reusable = stays && clean;
                         return Ok((outcome, body));
                     }
                     Err(what) => {
@@ -141,9 +148,10 @@
         loop {
             let now = house.clock.now();
             let idle = house.store.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
-            if let Some((stream, since)) = idle {
-                let held = Held { house, stream: Some(stream), reusable: false };
-                if now - since <= house.limits.store_idle && held.stream.as_ref().is_some_and(quiet) {
+            if let Some((line, since)) = idle {
+                let sound = now - since <= house.limits.store_idle && quiet(&line.stream);
+                let held = Held { house, line: Some(line), reusable: false };
+                if sound {
                     return Ok(held);
                 }
                 continue;
@@ -155,14 +163,19 @@
             self.check(house, Outcome::Full)?;
             house.chores.wait();
         }
-        let mut held = Held { house, stream: None, reusable: false };
+        let mut held = Held { house, line: None, reusable: false };
         // A connection that never came up proves that no call ran.
         let Some(address) = house.warrant.store else { return Err(Stop::Ended(Outcome::Unreachable)) };
         let left = std::time::Duration::from_secs_f64((self.deadline - house.clock.now()).max(0.001));
         let stream = TcpStream::connect_timeout(&address, left.min(house.limits.connect));
         let stream = stream.map_err(|_| Stop::Ended(Outcome::Unreachable))?;
         let _ = stream.set_nodelay(true);
-        held.stream = Some(stream);
+        let limits = &house.limits;
+        held.line = Some(Line {
+            stream,
+            input: Ring::new(limits.buffer, limits.head + limits.reply),
+            out: Ring::new(limits.buffer, limits.head + limits.line),
+        });
         Ok(held)
     }
 }
@@ -187,16 +200,16 @@
 /// A connection's place in the store's share: back to the pool or closed, whatever happens.
 struct Held<'a> {
     house: &'a House,
-    stream: Option<TcpStream>,
+    line: Option<Line>,
     reusable: bool,
 }
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
-        match self.stream.take().filter(|_| self.reusable) {
-            Some(stream) => {
+        match self.line.take().filter(|_| self.reusable) {
+            Some(line) => {
                 let now = self.house.clock.now();
-                self.house.store.idle.lock().unwrap_or_else(PoisonError::into_inner).push((stream, now));
+                self.house.store.idle.lock().unwrap_or_else(PoisonError::into_inner).push((line, now));
             }
             None => {
                 self.house.store.open.fetch_sub(1, Ordering::Relaxed);
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -116,6 +116,16 @@
     assert_eq!(word(&mut gateway, "order", KEY, b"an order"), "200");
 }
 
+#[test]
+fn a_run_that_never_began_leaves_its_key_free() {
+    let town = town();
+    let mut gateway = town.gateway();
+    for body in ["late", "refuse"] {
+        assert_eq!(word(&mut gateway, "order", KEY, body.as_bytes()), "500");
+    }
+    assert_eq!(word(&mut gateway, "order", KEY, b"an order"), "200");
+}
+
 #[test]
 fn behind_its_window_a_key_is_free_again() {
     let town = Town::open(SERVER, |told| told["settings"]["Lanes"][1]["DedupWindow"] = json!(100));
@@ -401,6 +411,39 @@
     town.store.ended.wait("the call's connection to end", |ended| (*ended == 1).then_some(()));
 }
 
+#[test]
+fn an_unused_connection_to_the_store_is_closed_by_the_server() {
+    let town = town();
+    assert_eq!(word(&mut town.gateway(), "quote", "", b"call once"), "200");
+    town.store.ended.wait("the connection to end", |ended| (*ended == 1).then_some(()));
+}
+
+#[test]
+fn without_a_roster_the_server_serves() {
+    let town = Town::open(SERVER, |told| {
+        let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        told["roster"] = json!(gone.local_addr().unwrap());
+    });
+    town.logs("no report");
+    still_serves(&town);
+}
+
+#[test]
+fn a_server_that_leaves_reports_so_or_reports_no_more() {
+    let follows = Town::open(SERVER, |told| told["settings"]["FamilyInfo"]["ListFollows"] = json!(true));
+    let mut other = Town::open(SERVER, |told| told["stop_ms"] = json!(3500));
+    other.roster.hears("toy-1", "on");
+    for town in [&follows, &other] {
+        town.term();
+        town.logs("told to leave");
+    }
+    follows.roster.hears("toy-1", r#"{"duty":"off"}"#);
+    // One report may have been on its way; at one a second three more would have come by the end.
+    let before = other.roster.calls.lock().len();
+    other.end();
+    assert!(other.roster.calls.lock().len() <= before + 1);
+}
+
 #[test]
 fn an_unused_connection_is_asked_to_leave_and_a_crossing_txn_is_not_lost() {
     let town = Town::open(SERVER, |told| told["settings"]["FamilyInfo"]["Idle"] = json!(200));
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -5,6 +5,8 @@
 //! | `hold` | runs until [`Agent::finish`] |
 //! | `call TEXT` | calls below with `TEXT`; its result is the reply |
 //! | `fail` | ends in a fault |
+//! | `late` | never begins |
+//! | `refuse` | is refused, as that of a txn it does not know |
 //! | anything else | gives `done` and the body |
 
 use crate::Watched;
@@ -131,6 +133,10 @@
         match line["op"].as_str().unwrap_or_default() {
             "launch" if self.runs.contains_key(&id) => {}
             "launch" if body.starts_with(b"fail") => self.outcome(&id, "fault", b""),
+            "launch" if body.starts_with(b"late") => self.outcome(&id, "late", b""),
+            "launch" if body.starts_with(b"refuse") => {
+                self.say(&json!({"op": "refusal", "end": "launch", "id": id}));
+            }
             "launch" if body.starts_with(b"call ") => {
                 self.notice(json!({"op": "request", "id": id, "body": BASE64_STANDARD.encode(&body[5..])}));
                 self.runs.insert(id, body);
