A replaced key gives its result's bytes back; too much unread closes the hogs only

Found on reading: Keys::read replaced an entry past its window without taking its result off the budget, so that after enough such repeats all results would have been dropped; and a connection that was answered while all others together left 24 MB unread was closed for them. Both have a test that fails on the code before.

--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -24,6 +24,8 @@
     /// Bytes that wait for one slow gateway, and for all of them.
     pub unsent: usize,
     pub unsent_all: usize,
+    /// What each may leave unread though all together leave too much.
+    pub unsent_fair: usize,
     /// Bytes of a line of the agent, and bytes that wait for it.
     pub line: usize,
     pub unsent_agent: usize,
@@ -86,6 +88,7 @@
             turn: 65536,
             unsent: 32 * (4096 + 256),
             unsent_all: memory / 8,
+            unsent_fair: 2 * 4096,
             line: 65536,
             unsent_agent: memory / 16,
             head: 4096,
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -42,15 +42,16 @@
 
     /// The try that holds this key, or else `id` holds it from now on.
     pub fn read(&mut self, key: Key, id: u32, arrived: f64) -> Option<u32> {
-        let entry = Entry { id, until: f64::MAX, course: Course::Open(Vec::new()) };
-        match self.entries.get_mut(&key) {
+        if let Some(old) = self.entries.get(&key) {
+            let holder = old.id;
             // What came to the machine within the window is a repeat, however late it is read.
-            Some(old) if old.until >= arrived || matches!(old.course, Course::Open(_)) => Some(old.id),
-            _ => {
-                self.entries.insert(key, entry);
-                None
+            if old.until >= arrived || matches!(old.course, Course::Open(_)) {
+                return Some(holder);
             }
+            self.release(&key, holder);
         }
+        self.entries.insert(key, Entry { id, until: f64::MAX, course: Course::Open(Vec::new()) });
+        None
     }
 
     /// Holds the key to `until` at the least.
@@ -156,6 +157,7 @@
         keys.expire(151.9);
         assert_eq!(keys.read(KEY, 2, 150.001), Some(1));
         assert_eq!(keys.read(KEY, 3, 150.01), None, "this one came behind it");
+        assert_eq!(keys.kept, 0, "and the first one's result is no longer kept");
         assert_eq!(keys.read(KEY, 4, 150.02), Some(3));
     }
 
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -102,7 +102,9 @@
         let mut bytes = Vec::with_capacity(64 + elements.iter().map(|e| e.len() + 12).sum::<usize>());
         resp::write(&mut bytes, elements);
         let all = house.gateways.unsent.fetch_add(bytes.len(), Ordering::Relaxed) + bytes.len();
-        if all > house.limits.unsent_all || counter.out.put(&bytes).is_err() {
+        // Where too much lies unread in all, those close that leave much of it, not whoever is answered next.
+        let hogs = all > house.limits.unsent_all && counter.out.len() > house.limits.unsent_fair;
+        if hogs || counter.out.put(&bytes).is_err() {
             house.gateways.unsent.fetch_sub(bytes.len(), Ordering::Relaxed);
             counter.closed = true;
             log::warn!("gateway: a connection closed, {} bytes lay unread there", counter.out.len());
@@ -283,6 +285,29 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn where_all_together_leave_too_much_unread_only_those_close_that_leave_much() {
+        let example = puffinladder_toy::town::EXAMPLE.as_bytes();
+        let house = House::new(puffinladder_charter::read_warrant(example, None, None).unwrap());
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let [hog, other] = [(); 2].map(|()| Outlet::new(&house, &stream));
+        for outlet in [&hog, &other] {
+            (1..=3).for_each(|tag| outlet.open(tag, &Arc::default()));
+        }
+        let much = vec![0; house.limits.unsent_fair];
+        hog.answer(&house, 1, "200", &[], &much);
+        house.gateways.unsent.fetch_add(house.limits.unsent_all, Ordering::Relaxed);
+        hog.answer(&house, 2, "200", &[], b"more");
+        other.answer(&house, 1, "200", &[], b"little");
+        assert!(hog.lock().closed && !other.lock().closed);
+        assert!(other.unsent().ends_with(b"little\r\n"));
+        // Even the fairest share ends at what one connection may leave.
+        house.gateways.unsent.store(0, Ordering::Relaxed);
+        other.answer(&house, 2, "200", &[], &vec![0; house.limits.unsent]);
+        assert!(other.lock().closed);
+    }
+
     #[test]
     fn tags_come_in_any_order_but_each_only_once() {
         let mut tags = Tags::default();
