--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -334,6 +334,16 @@
     assert_eq!(town.agent.count("launch", &name), 1);
 }
 
+#[test]
+fn a_new_link_on_which_old_notices_never_end_is_made_anew() {
+    let town = town();
+    town.agent.mute(true);
+    town.agent.cut();
+    town.agent.hears_times("subscribe", 3);
+    town.agent.mute(false);
+    still_serves(&town);
+}
+
 #[test]
 fn a_line_that_cannot_be_read_breaks_the_link_only() {
     let town = town();
