--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -16,7 +16,7 @@
     pub open: usize,
     /// Used tags above an unused one that a connection remembers: far more than may be open, so any order passes.
     pub tags: usize,
-    /// Bytes of a body that a gateway sends, and of all else in one of its messages.
+    /// Bytes of a body, or of any other element, that a gateway sends, and of a message that is not all there.
     pub body: usize,
     pub message: usize,
     /// Bytes read from one connection before others have their turn.
