--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -8,6 +8,7 @@
 use may::net::TcpStream;
 use puffinladder::{Gauges, Outcome};
 use serde_json::Value;
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -150,9 +151,9 @@
                 quiet = false;
                 let _ = stream.set_nodelay(true);
                 let before = heard;
-                let end = talk(house, &stream, &mut heard);
+                let Err(end) = talk(house, &stream, &mut heard);
                 house.agent.lock().close();
-                log::warn!("agent: link lost behind notice {heard}: {}", end.unwrap_or_else(|what| what));
+                log::warn!("agent: link lost behind notice {heard}: {end}");
                 // A link that brought something is sought again at once.
                 if heard > before {
                     continue;
@@ -172,7 +173,8 @@
     }
 }
 
-fn talk(house: &Arc<House>, stream: &TcpStream, heard: &mut u64) -> Result<String, String> {
+/// Speaks until the link ends, and says why it did.
+fn talk(house: &Arc<House>, stream: &TcpStream, heard: &mut u64) -> Result<Infallible, String> {
     let mut input = Ring::new(house.limits.buffer, house.limits.line);
     {
         let mut link = house.agent.lock();
@@ -185,7 +187,7 @@
             match input.fill_from(stream.inner()).map_err(|e| e.to_string())? {
                 Filled::Bytes(_) => {}
                 Filled::NotYet => break,
-                Filled::Ended => return Ok("closed by the agent".into()),
+                Filled::Ended => return Err("closed by the agent".into()),
             }
             while let Some(end) = input.whole().iter().position(|&b| b == b'\n') {
                 let line = serde_json::from_slice(&input.whole()[..end]);
@@ -199,7 +201,7 @@
         }
         let mut link = house.agent.lock();
         if link.broken {
-            return Ok("it reads too slowly or answers no sample".into());
+            return Err("it reads too slowly or answers no sample".into());
         }
         link.out.drain_to(stream.inner()).map_err(|e| e.to_string())?;
         drop(link);
@@ -225,6 +227,7 @@
         if seq <= *heard {
             return Ok(());
         }
+        // Counted before it is read further: one that can't be read would come again on every new link.
         if seq > *heard + 1 {
             log::warn!("agent: notices {} to {} are missing", *heard + 1, seq - 1);
         }
@@ -250,9 +253,7 @@
                 open(house);
             }
         }
-        "sampled" if word("tag") == MARK => {
-            open(house);
-        }
+        "sampled" if word("tag") == MARK => open(house),
         "sampled" => {
             let mut gauges = Gauges::default();
             let values = line.get("values").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
