--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -1,14 +1,16 @@
 //! Owns the module: gathers news into rounds, carries out what it writes and wakes the txns it concerns.
 
+use crate::clock;
 use crate::life::House;
+use crate::lock::lock;
 use crate::memory::hands::{Hands, Name, Slip, Word};
 use crate::memory::keys::{Key, Keys};
-use crate::txn::{self, Read};
+use crate::txn::Read;
 use may::coroutine::{self, Coroutine};
 use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 pub struct Desk {
     plan: Mutex<Plan>,
@@ -16,8 +18,8 @@
     good: AtomicBool,
     /// The free value as it goes out, `v=0.5`.
     signal: Mutex<Vec<u8>>,
-    /// Notices to leave, as the clock's time of the kill; 0 for none.
-    kill: AtomicU64,
+    /// The time of the kill, after a notice to leave.
+    kill: OnceLock<f64>,
 }
 
 /// What is decided with, and on.
@@ -59,12 +61,12 @@
             clerk: OnceLock::new(),
             good: AtomicBool::new(true),
             signal: Mutex::default(),
-            kill: AtomicU64::new(0),
+            kill: OnceLock::new(),
         }
     }
 
     fn plan(&self) -> MutexGuard<'_, Plan> {
-        self.plan.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.plan)
     }
 
     /// Has the desk look up soon.
@@ -108,12 +110,12 @@
     }
     /// The notice to leave: the kill comes at that time.
     pub fn leave(&self, kill: f64) {
-        self.kill.store(kill.to_bits(), Ordering::Relaxed);
+        self.kill.get_or_init(|| kill);
         self.tell(|news| news.leave = Some(kill));
     }
     /// When the kill comes, after a notice to leave.
     pub fn kill(&self) -> Option<f64> {
-        Some(f64::from_bits(self.kill.load(Ordering::Relaxed))).filter(|&kill| kill > 0.0)
+        self.kill.get().copied()
     }
 
     /// A run of a referenced txn is over, with a result or without.
@@ -158,7 +160,7 @@
     }
     /// Appends the free value's field, if there is one.
     pub fn put_signal(&self, out: &mut Vec<u8>) {
-        out.extend_from_slice(&self.signal.lock().unwrap_or_else(PoisonError::into_inner));
+        out.extend_from_slice(&lock(&self.signal));
     }
 
     /// Works for as long as the process lives.
@@ -207,7 +209,7 @@
     fn round(&self, plan: &mut Plan, now: f64, wake: Option<Gauges>) {
         let Plan { brain, hands, keys, news, stamps, wake_at, keep, .. } = plan;
         for (txn, stamp) in news.arrived.iter_mut().zip(stamps.drain(..)) {
-            txn.unread = txn::age(stamp);
+            txn.unread = clock::age(stamp);
         }
         news.wake = wake;
         for end in &news.ended {
@@ -296,7 +298,7 @@
         self.desk.good.store(good, Ordering::Relaxed);
     }
     fn signal(&mut self, amount: f64) {
-        let mut signal = self.desk.signal.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut signal = lock(&self.desk.signal);
         signal.clear();
         let _ = write!(signal, "v={amount:.4}");
     }
--- a/crates/server/src/life/chores.rs
+++ b/crates/server/src/life/chores.rs
@@ -1,7 +1,8 @@
 //! A place to wait for the next look at idle things, about ten times a second.
 
+use crate::lock::lock;
 use may::coroutine::{self, Coroutine};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
 #[derive(Default)]
 pub struct Chores {
@@ -10,12 +11,12 @@
 
 impl Chores {
     pub fn wait(&self) {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(coroutine::current());
+        lock(&self.waiting).push(coroutine::current());
         coroutine::park();
     }
 
     pub fn ring(&self) {
-        let waiting = std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+        let waiting = std::mem::take(&mut *lock(&self.waiting));
         waiting.iter().for_each(Coroutine::unpark);
     }
 }
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -19,7 +19,7 @@
 use may::coroutine::Builder;
 use may::net::TcpListener;
 use puffinladder::Brain;
-use puffinladder_charter::{Terms, Warrant};
+use puffinladder_charter::Warrant;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
@@ -29,7 +29,6 @@
 /// All that the coroutines of one server share.
 pub struct House {
     pub warrant: Warrant,
-    pub terms: Terms,
     pub limits: Limits,
     pub clock: Clock,
     pub desk: Desk,
@@ -58,7 +57,6 @@
         let (limits, charter) = (Limits::new(&warrant), &warrant.terms.charter);
         let keys = Keys::new(limits.results, limits.key_grain, limits.key_over);
         Arc::new(House {
-            terms: warrant.terms.clone(),
             clock: Clock::default(),
             desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
             agent: Agent::new(limits.buffer, limits.unsent_agent),
--- a/crates/server/src/life/tally.rs
+++ b/crates/server/src/life/tally.rs
@@ -1,8 +1,9 @@
 //! Counts for the summary line of the log.
 
 use super::House;
+use crate::lock::lock;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
 #[derive(Default)]
 pub struct Tally {
@@ -26,7 +27,7 @@
 
     /// Writes the line, if it is time and there is anything new to tell.
     pub fn report(&self, house: &House, now: f64) {
-        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut told = lock(&self.told);
         let [settled, declined, voided] =
             [&self.settled, &self.declined, &self.voided].map(|counter| counter.load(Ordering::Relaxed));
         let all = settled + declined + voided;
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -1,5 +1,5 @@
-//! Every size, count and time of the process in one place. These are properties of the program; what is taken,
-//! run and turned away is the module's business.
+//! Every size, count and time of the process in one place. These are properties of the program; what is
+//! taken, run and turned away is the module's business.
 
 use puffinladder_charter::Warrant;
 use std::time::Duration;
@@ -14,9 +14,9 @@
     pub txns: usize,
     /// Txns open on one connection.
     pub open: usize,
-    /// Used tags above an unused one that a connection remembers: far more than may be open, so any order passes.
+    /// Used tags above an unused one that a connection remembers: far more than may be open.
     pub tags: usize,
-    /// Bytes of a body, or of any other element, that a gateway sends, and of a message that is not all there.
+    /// Bytes of a body, or of any other element, that a gateway sends, and of an unfinished message.
     pub body: usize,
     pub message: usize,
     /// Bytes read from one connection before others have their turn.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod life;
 mod limits;
+mod lock;
 mod memory;
 mod txn;
 mod wire;
--- a/crates/server/src/memory/hands.rs
+++ b/crates/server/src/memory/hands.rs
@@ -1,9 +1,10 @@
 //! The txns in hand, by the number that the module knows and by the name that agent and store know.
 
 use super::keys::Key;
+use crate::lock::lock;
 use puffinladder::Outcome;
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 
 /// The 16 hex digits that name one try, as they came.
 pub type Name = [u8; 16];
@@ -78,7 +79,7 @@
 
 impl Slip {
     pub fn say(&self, word: Word) {
-        self.words.lock().unwrap_or_else(PoisonError::into_inner).push_back(word);
+        lock(&self.words).push_back(word);
         if let Some(reader) = self.reader.get() {
             reader.unpark();
         }
@@ -87,7 +88,7 @@
     /// The next word; only the txn's own coroutine asks.
     pub fn wait(&self) -> Word {
         loop {
-            let word = self.words.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
+            let word = lock(&self.words).pop_front();
             match word {
                 Some(word) => return word,
                 None if self.reader.get().is_some() => may::coroutine::park(),
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -22,7 +22,6 @@
     /// When it came to the machine, by the Unix clock.
     pub stamp: f64,
     pub news: Txn,
-    pub class: String,
     pub body: Vec<u8>,
 }
 
@@ -69,7 +68,7 @@
             ..Txn::default()
         };
         let stamp = resp::decimal(stamp).ok_or("a wrong field s")? as f64 / 1e3;
-        Ok(Read { name, key, stamp, news, class: class.to_owned(), body: array.at(4).to_vec() })
+        Ok(Read { name, key, stamp, news, body: array.at(4).to_vec() })
     }
 }
 
@@ -119,8 +118,8 @@
     }
 }
 
-/// A txn's place in the module's hands: whatever happens here, the module hears of its end, and a key does not
-/// stay open for ever.
+/// A txn's place in the module's hands: whatever happens here, the module hears of its end, and a key does
+/// not stay open for ever.
 struct Place<'a> {
     house: &'a House,
     key: Option<Key>,
@@ -204,7 +203,9 @@
 fn tell(house: &House, told: Told, read: &Read, asked: &Asked) -> u64 {
     match told {
         Told::Nothing => 0,
-        Told::Launch => house.agent.launch(&read.name, &read.class, &read.body),
+        Told::Launch => {
+            house.agent.launch(&read.name, &house.warrant.terms.products[read.news.product], &read.body)
+        }
         Told::Freeze => house.agent.freeze(&read.name),
         Told::Thaw => house.agent.thaw(&read.name),
         Told::Deliver => house.agent.deliver(&read.name, &asked.reply),
@@ -214,7 +215,7 @@
 
 fn live(house: &Arc<House>, read: Read, slip: &Arc<Slip>, outlet: &Outlet, tag: u64) {
     let mut answer = Answer { house, outlet, tag, owed: true };
-    let arrived = house.clock.now() - age(read.stamp);
+    let arrived = house.clock.now() - clock::age(read.stamp);
     let Some(id) = house.desk.offer(&read, arrived, slip) else {
         log::warn!("txn: tag {tag} voided: its name is in hand already");
         return;
@@ -274,7 +275,7 @@
                 told = Told::Forgo;
                 stamp = tell(house, told, &read, &asked);
             }
-            // Its due time is near, or its gateway has gone: the answer is out, and the run goes on to its end.
+            // Its due time is near, or its gateway has gone: the duty to answer ends, the run goes on.
             Word::Void => answer.void(),
             Word::Gone => {
                 answer.owed = false;
@@ -305,18 +306,13 @@
                 place.left = true;
                 return;
             }
-            // The link to the agent is new: what it may not have heard, and shows no effect of, is said again.
+            // The link to the agent is new: what it may not have heard is said again.
             Word::Resume if house.agent.heard(stamp) => {}
             Word::Resume => stamp = tell(house, told, &read, &asked),
         }
     }
 }
 
-/// How long ago, by the Unix clock, a stamp was made; one of the future counts as now.
-pub fn age(stamp: f64) -> f64 {
-    (clock::unix() - stamp).max(0.0)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -334,14 +330,7 @@
         let (slip, waits, key) = (Arc::new(Slip::default()), Arc::new(Slip::default()), [b'a'; 32]);
         outlet.open(7, &slip);
         let news = Txn { product: 1, ..Txn::default() };
-        let read = Read {
-            name: [b'1'; 16],
-            key: Some(key),
-            stamp: 0.0,
-            news,
-            class: "order".into(),
-            body: Vec::new(),
-        };
+        let read = Read { name: [b'1'; 16], key: Some(key), stamp: 0.0, news, body: Vec::new() };
         let id = house.desk.offer(&read, 0.0, &slip).unwrap();
         house.desk.replay(&key, &waits);
         let died = catch_unwind(AssertUnwindSafe(|| {
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -2,6 +2,7 @@
 
 use super::ring::{Filled, Ring};
 use crate::life::House;
+use crate::lock::lock;
 use crate::memory::hands::{Name, Word};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::io::{WaitIo, WaitIoWaker};
@@ -10,7 +11,7 @@
 use serde_json::Value;
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 pub struct Agent {
     link: Mutex<Link>,
@@ -23,8 +24,8 @@
     /// Commands go out. While a new link still replays old notices they don't: it is not yet known which of
     /// the earlier ones were heard, and `Word::Resume` has them said again.
     open: bool,
-    /// The last sample asked for and the last one answered: what went out before a sample that was answered on
-    /// the same link has been heard.
+    /// The last sample asked for and the last one answered: what went out before a sample that was answered
+    /// on the same link has been heard.
     asked: u64,
     answered: u64,
     /// When the mark behind the replayed notices was asked for.
@@ -47,7 +48,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Link> {
-        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.link)
     }
 
     /// Whether the agent has come up.
@@ -85,11 +86,14 @@
     }
     /// Asks for the gauges; tags rise.
     pub fn sample(&self, tag: u64) {
-        self.send(format!("{{\"op\":\"sample\",\"tag\":\"{tag}\"").into_bytes());
-        self.lock().asked = tag;
+        let mut link = self.lock();
+        if link.open {
+            link.put(sample(&tag.to_string()));
+            link.asked = tag;
+        }
     }
 
-    /// Breaks a new link whose mark was asked for before `since` and has not come: without it nothing may go out.
+    /// Breaks a new link whose mark was asked for before `since` and has not come: nothing may go out on it.
     pub fn hurry(&self, since: f64) {
         let mut link = self.lock();
         if !link.open && link.marked < since {
@@ -135,6 +139,10 @@
     line
 }
 
+fn sample(tag: &str) -> Vec<u8> {
+    format!("{{\"op\":\"sample\",\"tag\":\"{tag}\"").into_bytes()
+}
+
 fn put_body(line: &mut Vec<u8>, body: &[u8]) {
     line.extend_from_slice(b",\"body\":\"");
     line.extend_from_slice(BASE64_STANDARD.encode(body).as_bytes());
@@ -246,7 +254,7 @@
             log::info!("agent: link is up, the agent is {}", word("end"));
             let mut link = house.agent.lock();
             link.marked = house.clock.now();
-            link.put(format!("{{\"op\":\"sample\",\"tag\":\"{MARK}\"").into_bytes());
+            link.put(sample(MARK));
             drop(link);
             // The first link has nothing old to tell.
             if !house.agent.greeted.swap(true, Ordering::Relaxed) {
@@ -257,7 +265,7 @@
         "sampled" => {
             let mut gauges = Gauges::default();
             let values = line.get("values").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
-            for (value, meter) in values.iter().zip(&house.terms.meters) {
+            for (value, meter) in values.iter().zip(&house.warrant.terms.meters) {
                 meter.show(value.as_f64().unwrap_or_default(), &mut gauges);
             }
             if let Ok(tag) = word("tag").parse() {
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -3,13 +3,14 @@
 use super::resp::{self, Array};
 use super::ring::{Filled, Ring};
 use crate::life::House;
+use crate::lock::lock;
 use crate::memory::hands::{Slip, Word};
 use crate::txn;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// All connections, and the bytes that wait for them together.
 #[derive(Default)]
@@ -73,7 +74,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Counter> {
-        self.counter.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.counter)
     }
 
     /// Owes a tag its answer from now on; the slip hears if its gateway stops waiting.
@@ -143,7 +144,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<usize, Arc<Outlet>>> {
-        self.outlets.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.outlets)
     }
 }
 
@@ -172,13 +173,13 @@
 }
 
 /// A connection's place among the others; whatever ends it, its txns count as gone.
-struct Line<'a> {
+struct Seat<'a> {
     house: &'a House,
     outlet: Arc<Outlet>,
     serial: usize,
 }
 
-impl Drop for Line<'_> {
+impl Drop for Seat<'_> {
     fn drop(&mut self) {
         self.house.gateways.lock().remove(&self.serial);
         let mut counter = self.outlet.lock();
@@ -192,8 +193,8 @@
 fn serve(house: &Arc<House>, stream: TcpStream, serial: usize) {
     let outlet = Arc::new(Outlet::new(house, &stream));
     house.gateways.lock().insert(serial, outlet.clone());
-    let line = Line { house, outlet, serial };
-    if let Err(what) = talk(house, &stream, &line.outlet) {
+    let seat = Seat { house, outlet, serial };
+    if let Err(what) = talk(house, &stream, &seat.outlet) {
         log::warn!("gateway: a connection closed: {what}");
     }
 }
@@ -271,7 +272,7 @@
     let slip = Arc::new(Slip::default());
     counter.open.insert(tag, slip.clone());
     drop(counter);
-    match txn::Read::new(&house.terms, array) {
+    match txn::Read::new(&house.warrant.terms, array) {
         Ok(read) => txn::begin(house, read, slip, outlet.clone(), tag),
         Err(what) => {
             log::warn!("gateway: tag {tag} voided unread: {what}");
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -1,4 +1,11 @@
-//! HTTP/1.1 replies of store and roster.
+//! HTTP/1.1 as spoken with store and roster.
+
+/// A request; `more` holds further headers, each with its line end.
+pub fn request(target: &str, host: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let len = body.len();
+    let head = format!("{target} HTTP/1.1\r\nHost: {host}\r\n{more}Content-Length: {len}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
 
 /// A whole reply.
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/server/src/wire/roster.rs
+++ b/crates/server/src/wire/roster.rs
@@ -15,7 +15,7 @@
     loop {
         let now = house.clock.now();
         // Where the list does not follow the state, a server leaves it by reporting no more.
-        let leaves = house.desk.kill().is_some() && !house.terms.charter.list_follows;
+        let leaves = house.desk.kill().is_some() && !house.warrant.terms.charter.list_follows;
         if now >= next && house.agent.greeted() && !leaves {
             next = now + house.limits.report.as_secs_f64();
             let end = report(house, &mut link);
@@ -43,9 +43,8 @@
     };
     let duty = if house.desk.serving() { "on" } else { "off" };
     let body = format!("{{\"duty\":\"{duty}\"}}");
-    let (name, len) = (&house.warrant.name, body.len());
-    let head = format!("PUT /roster/{name} HTTP/1.1\r\nHost: roster\r\nContent-Length: {len}\r\n\r\n");
-    stream.write_all(format!("{head}{body}").as_bytes())?;
+    let target = format!("PUT /roster/{}", house.warrant.name);
+    stream.write_all(&http::request(&target, "roster", "", body.as_bytes()))?;
     let mut input = Ring::new(house.limits.buffer, house.limits.head + house.limits.reply);
     loop {
         if !matches!(input.fill_from(&mut *stream)?, Filled::Bytes(_)) {
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -3,13 +3,14 @@
 use super::http;
 use super::ring::{Filled, Ring};
 use crate::life::House;
+use crate::lock::lock;
 use crate::memory::hands::{Name, Slip, Word};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use puffinladder::Outcome;
 use std::io::{self, Read};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 #[derive(Default)]
 pub struct Store {
@@ -51,7 +52,7 @@
             over: AtomicBool::new(false),
             waker: Mutex::default(),
         });
-        house.store.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call.clone());
+        lock(&house.store.calls).push(call.clone());
         let (house, slip, this) = (house.clone(), slip.clone(), call.clone());
         may::go!(move || {
             let end = this.make(&house, &name, &body, limit);
@@ -73,7 +74,7 @@
     }
 
     fn wake(&self) {
-        if let Some(waker) = &*self.waker.lock().unwrap_or_else(PoisonError::into_inner) {
+        if let Some(waker) = &*lock(&self.waker) {
             waker.wakeup();
         }
     }
@@ -100,14 +101,11 @@
         let Some(Line { stream, input, out }) = &mut held.line else {
             return Err(Stop::Ended(Outcome::Unreachable));
         };
-        *self.waker.lock().unwrap_or_else(PoisonError::into_inner) = Some(stream.waker());
+        *lock(&self.waker) = Some(stream.waker());
         let name = String::from_utf8_lossy(name);
         let wait = (limit * 1e3).ceil();
-        let head = format!(
-            "POST /query HTTP/1.1\r\nHost: store\r\nX-For-Request: {name}\r\nX-Wait-Ms: {wait}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        if out.put(head.as_bytes()).and_then(|()| out.put(body)).is_err() {
+        let more = format!("X-For-Request: {name}\r\nX-Wait-Ms: {wait}\r\n");
+        if out.put(&http::request("POST /query", "store", &more, body)).is_err() {
             return Err(Stop::Ended(Outcome::Moot));
         }
         // Once a byte may have gone, a break proves nothing.
@@ -147,7 +145,7 @@
     fn connection<'a>(&self, house: &'a House) -> Result<Held<'a>, Stop> {
         loop {
             let now = house.clock.now();
-            let idle = house.store.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+            let idle = lock(&house.store.idle).pop();
             if let Some((line, since)) = idle {
                 let sound = now - since <= house.limits.store_idle && quiet(&line.stream);
                 let held = Held { house, line: Some(line), reusable: false };
@@ -209,7 +207,7 @@
         match self.line.take().filter(|_| self.reusable) {
             Some(line) => {
                 let now = self.house.clock.now();
-                self.house.store.idle.lock().unwrap_or_else(PoisonError::into_inner).push((line, now));
+                lock(&self.house.store.idle).push((line, now));
             }
             None => {
                 self.house.store.open.fetch_sub(1, Ordering::Relaxed);
@@ -225,13 +223,13 @@
 
     /// Wakes calls whose time is up, and closes what lay unused before the other side does.
     pub fn hurry(&self, now: f64) {
-        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut calls = lock(&self.calls);
         calls.retain(|call| !call.over.load(Ordering::Relaxed));
         calls.iter().filter(|call| now >= call.deadline).for_each(|call| call.wake());
     }
 
     pub fn close_idle(&self, now: f64, keep: f64) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let before = idle.len();
         idle.retain(|(_, since)| now - since <= keep);
         self.open.fetch_sub(before - idle.len(), Ordering::Relaxed);
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -1,6 +1,6 @@
 //! Stories told to a whole server process by the example's stand-ins.
 
-use puffinladder_toy::gateway::{message, Answer, Gateway};
+use puffinladder_toy::gateway::{message, now, Answer, Gateway};
 use puffinladder_toy::town::{start, Town, EXAMPLE};
 use serde_json::{json, Value};
 use std::io::Write;
@@ -35,8 +35,7 @@
 
 /// A stamp so long ago that the txn has waited past any threshold.
 fn stale() -> String {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
-    format!(",s={}", now - 5000)
+    format!(",s={}", now() - 5000)
 }
 
 #[test]
@@ -251,7 +250,7 @@
 fn a_gateway_that_reads_nothing_stalls_nobody_and_is_closed() {
     let town = town();
     let mut gateway = town.gateway();
-    // Whatever the system's buffers hold, the write fails once the server has closed, which is what is wanted.
+    // Whatever the system's buffers hold, the write fails once the server has closed.
     for thousand in 1..20_000 {
         let check = |at: u32| message(&[b"CHECK", (1000 * thousand + at).to_string().as_bytes(), b""]);
         let checks: Vec<u8> = (0..1000).flat_map(check).collect();
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -85,28 +85,29 @@
         });
     }
 
-    /// The first command of this kind for this txn, once it has come.
+    /// The first command of this kind for this txn, once it has come; of any txn for an empty id.
     pub fn hears(&self, op: &str, id: &str) -> Value {
-        self.farm.wait(&format!("{op} of {id}"), |farm| {
-            farm.heard.iter().find(|line| line["op"] == op && (id.is_empty() || line["id"] == id)).cloned()
-        })
+        self.farm.wait(&format!("{op} of {id}"), |farm| farm.commands(op, id).next().cloned())
     }
 
     /// How many commands of this kind came for this txn; of all txns for an empty id.
     pub fn count(&self, op: &str, id: &str) -> usize {
-        let farm = self.farm.lock();
-        farm.heard.iter().filter(|line| line["op"] == op && (id.is_empty() || line["id"] == id)).count()
+        self.farm.lock().commands(op, id).count()
     }
 
     /// Waits until so many commands of this kind have come.
     pub fn hears_times(&self, op: &str, times: usize) {
         self.farm.wait(&format!("{op} {times} times"), |farm| {
-            (farm.heard.iter().filter(|line| line["op"] == op).count() >= times).then_some(())
+            (farm.commands(op, "").count() >= times).then_some(())
         });
     }
 }
 
 impl Farm {
+    fn commands<'a>(&'a self, op: &'a str, id: &'a str) -> impl Iterator<Item = &'a Value> {
+        self.heard.iter().filter(move |line| line["op"] == op && (id.is_empty() || line["id"] == id))
+    }
+
     fn say(&mut self, line: &Value) {
         if let Some(link) = &mut self.link {
             // A cut link gets it later, with the notices.
--- a/examples/toy/src/gateway.rs
+++ b/examples/toy/src/gateway.rs
@@ -21,6 +21,11 @@
     tag: u64,
 }
 
+/// The Unix clock in milliseconds, as stamps have it.
+pub fn now() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis()
+}
+
 /// Names are new with every try.
 static NAMES: AtomicU64 = AtomicU64::new(1);
 
@@ -35,7 +40,7 @@
     /// Sends a txn under a new name, which it returns with the tag.
     pub fn call(&mut self, class: &str, more: &str, body: &[u8]) -> (u64, String) {
         let name = format!("{:016x}", NAMES.fetch_add(1, Ordering::Relaxed));
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis();
+        let now = now();
         let fields = format!("i={name},s={now},f=1,t=acme,h=10.5,m=20.5,p=0.5{more}");
         self.tag += 1;
         let tag = self.tag.to_string();
--- a/examples/toy/src/http.rs
+++ b/examples/toy/src/http.rs
@@ -1,5 +1,5 @@
-//! Store and roster. The body of a call says what becomes of it: `busy`, `error`, `late`, `void`, `junk`, `break`
-//! (the connection ends) or `hang` (nothing comes); any other is answered with `stored` and the body.
+//! Store and roster. The body of a call says what becomes of it: `busy`, `error`, `late`, `void`, `junk`,
+//! `break` (the connection ends) or `hang` (nothing comes); any other is answered with `stored` and the body.
 
 use crate::Watched;
 use std::io::{BufRead, BufReader, Read, Write};
