--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -33,7 +33,7 @@
 }
 
 /// What a brain works by, and the names and meters by which its host translates.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
     pub charter: Charter,
     /// In the order in which the values come.
@@ -43,15 +43,21 @@
     pub customers: Vec<String>,
 }
 
-/// What a server process is told at start.
-#[derive(Clone, Debug)]
-pub struct Warrant {
-    pub name: String,
-    pub listen: SocketAddr,
+/// Where the others listen whom a server speaks with: all that may change while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peers {
     pub agent: SocketAddr,
     pub roster: SocketAddr,
     /// Absent on the last tier, which calls nothing.
     pub store: Option<SocketAddr>,
+}
+
+/// What a server process is told.
+#[derive(Clone, Debug)]
+pub struct Warrant {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub peers: Peers,
     pub seed: u64,
     /// From the notice to leave to the kill.
     pub stop: f64,
@@ -173,9 +179,11 @@
     Ok(Warrant {
         name: name.to_owned(),
         listen: needed("listen", listen)?,
-        agent: needed("agent", None)?,
-        roster: needed("roster", None)?,
-        store: address("store", None)?,
+        peers: Peers {
+            agent: needed("agent", None)?,
+            roster: needed("roster", None)?,
+            store: address("store", None)?,
+        },
         seed,
         stop: between(&top, "stop_ms", 0.0, 3_600_000.0)? / 1e3,
         memory_mb: between(&limits, "memory_mb", 16.0, 1_048_576.0)?,
@@ -184,6 +192,21 @@
     })
 }
 
+impl Warrant {
+    /// Keys in which `new` differs although they hold for as long as the process lives.
+    pub fn fixed(&self, new: &Warrant) -> Vec<&'static str> {
+        let kept = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("seed", self.seed == new.seed),
+            ("stop_ms", self.stop == new.stop),
+            ("limits", (self.memory_mb, self.sockets) == (new.memory_mb, new.sockets)),
+            ("settings", self.terms == new.terms),
+        ];
+        kept.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
+    }
+}
+
 fn terms(top: &Part) -> Result<Terms, String> {
     let info = top.part("FamilyInfo")?;
     let rules = top.part("Contract")?;
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -4,7 +4,7 @@
 use crate::life::House;
 use crate::lock::lock;
 use crate::memory::hands::{Hands, Name, Slip, Word};
-use crate::memory::keys::{Key, Keys};
+use crate::memory::keys::{Holder, Key, Keys, Print};
 use crate::txn::Read;
 use may::coroutine::{self, Coroutine};
 use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
@@ -22,6 +22,17 @@
     kill: OnceLock<f64>,
 }
 
+/// What becomes of a txn that is put before the module.
+pub enum Offer {
+    Taken(u32),
+    /// One of its name is in hand.
+    Named,
+    /// Its key is held by one of other content; it waits on its slip, unknown to the module.
+    Doubtful,
+    /// One of other content ran under its key.
+    Other,
+}
+
 /// What is decided with, and on.
 struct Plan {
     brain: Brain,
@@ -84,17 +95,31 @@
         self.ring();
     }
 
-    /// Puts a txn that was read before the module; none if one of its name is in hand.
-    pub fn offer(&self, read: &Read, arrived: f64, slip: &Arc<Slip>) -> Option<u32> {
+    /// Puts a txn that was read before the module. For a key that one of other content holds it waits till
+    /// `until` at the most.
+    pub fn offer(&self, read: &Read, arrived: f64, slip: &Arc<Slip>, until: f64) -> Offer {
         let mut plan = self.plan();
-        let id = plan.hands.take(read.name, read.key, slip.clone())?;
-        let forerunner = read.key.and_then(|key| plan.keys.read(key, id, arrived));
-        plan.news.arrived.push(Txn { id, forerunner: forerunner.unwrap_or(0), ..read.news });
+        let Some(id) = plan.hands.take(read.name, read.key, slip.clone()) else { return Offer::Named };
+        let holder = read.key.map_or(Holder::Nobody, |key| plan.keys.read(key, read.print, id, arrived));
+        let forerunner = match (holder, read.key) {
+            (Holder::Same(forerunner), _) => forerunner,
+            (Holder::Doubtful, Some(key)) => {
+                plan.hands.drop(id);
+                plan.keys.contend(&key, read.print, slip, until);
+                return Offer::Doubtful;
+            }
+            (Holder::Other, _) => {
+                plan.hands.drop(id);
+                return Offer::Other;
+            }
+            _ => 0,
+        };
+        plan.news.arrived.push(Txn { id, forerunner, ..read.news });
         plan.stamps.push(read.stamp);
         plan.any = true;
         drop(plan);
         self.ring();
-        Some(id)
+        Offer::Taken(id)
     }
     pub fn at_call(&self, id: u32) {
         self.tell(|news| news.at_call.push(id));
@@ -103,7 +128,13 @@
         self.tell(|news| news.returned.push(End { id, outcome, took }));
     }
     pub fn ended(&self, id: u32, outcome: Outcome, took: f64) {
-        self.tell(|news| news.ended.push(End { id, outcome, took }));
+        let mut plan = self.plan();
+        // Its name is free from now on, whenever the module gets to hear of it.
+        plan.hands.drop(id);
+        plan.news.ended.push(End { id, outcome, took });
+        plan.any = true;
+        drop(plan);
+        self.ring();
     }
     pub fn gone(&self, id: u32) {
         self.tell(|news| news.gone.push(id));
@@ -129,8 +160,8 @@
             self.plan().keys.never_ran(key, id);
         }
     }
-    pub fn replay(&self, key: &Key, slip: &Arc<Slip>) {
-        self.plan().keys.replay(key, slip);
+    pub fn replay(&self, key: &Key, print: Print, slip: &Arc<Slip>) {
+        self.plan().keys.replay(key, print, slip);
     }
 
     pub fn slip(&self, name: &Name) -> Option<Arc<Slip>> {
@@ -174,17 +205,16 @@
 
     fn turn(&self, house: &Arc<House>) {
         let now = house.clock.now();
-        house.store.hurry(now);
+        house.store.hurry(now, house.limits.store);
         let mut plan = self.plan();
         if now >= plan.chores_at {
             plan.chores_at = now + house.limits.chores.as_secs_f64();
             plan.keys.expire(now);
             let keep = plan.keep;
             drop(plan);
-            house.gateways.close_idle(house, keep);
+            house.gateways.tidy(house, keep);
             house.agent.hurry(now - house.limits.mark_wait);
             house.tally.report(house, now);
-            house.store.close_idle(now, house.limits.store_idle);
             house.chores.ring();
             plan = self.plan();
         }
@@ -212,9 +242,6 @@
             txn.unread = clock::age(stamp);
         }
         news.wake = wake;
-        for end in &news.ended {
-            hands.drop(end.id);
-        }
         let mut pen = Pen { desk: self, hands, keys, now, wake_at, keep };
         brain.round(&news.round(now), &mut pen);
         for &id in &news.gone {
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -1,8 +1,9 @@
-//! Start, notice to leave and end of the process.
+//! Start, reload, notice to leave and end of the process.
 
 pub mod alarm;
 pub mod chores;
 pub mod journal;
+pub mod papers;
 pub mod tally;
 
 use crate::clock::Clock;
@@ -18,17 +19,21 @@
 use chores::Chores;
 use may::coroutine::Builder;
 use may::net::TcpListener;
+use papers::{Directory, Papers};
 use puffinladder::Brain;
 use puffinladder_charter::Warrant;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::hash::RandomState;
 use std::sync::Arc;
 use std::thread;
 use tally::Tally;
 
 /// All that the coroutines of one server share.
 pub struct House {
+    /// As read at start; of `peers` those in the directory are in force.
     pub warrant: Warrant,
+    pub directory: Directory,
     pub limits: Limits,
     pub clock: Clock,
     pub desk: Desk,
@@ -36,6 +41,8 @@
     pub store: Store,
     pub gateways: Gateways,
     pub living: Living,
+    /// By which bodies are told apart.
+    pub prints: RandomState,
     pub chores: Chores,
     pub alarm: Alarm,
     pub tally: Tally,
@@ -57,12 +64,14 @@
         let (limits, charter) = (Limits::new(&warrant), &warrant.terms.charter);
         let keys = Keys::new(limits.results, limits.key_grain, limits.key_over);
         Arc::new(House {
+            directory: Directory::new(warrant.peers),
             clock: Clock::default(),
             desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
             agent: Agent::new(limits.buffer, limits.unsent_agent),
             store: Store::default(),
             gateways: Gateways::default(),
             living: Living::default(),
+            prints: RandomState::new(),
             chores: Chores::default(),
             alarm: Alarm::default(),
             tally: Tally::default(),
@@ -73,11 +82,13 @@
 }
 
 /// Serves until the time of the kill.
-pub fn run(warrant: Warrant) -> Result<(), String> {
-    let house = House::new(warrant);
+pub fn run() -> Result<(), String> {
+    // Heeded from the first: a signal that comes early waits until there is something to heed it.
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))?;
+    let papers = Papers::told()?;
+    let house = House::new(papers.read()?);
     let (limits, listen) = (&house.limits, house.warrant.listen);
     journal::start(limits)?;
-    let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("no signals: {e}"))?;
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
     may.set_worker_pin(false);
@@ -92,7 +103,7 @@
     deep(&house, "roster", roster::run)?;
     deep(&house, "listener", move |house| gateway::listen(house, listener))?;
     let told = house.clone();
-    let notice = move || heed(&told, signals);
+    let notice = move || heed(&told, &papers, signals);
     let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_thread);
     watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
     loop {
@@ -122,16 +133,37 @@
     .map_err(|e| format!("no coroutine: {e}"))
 }
 
-/// Passes the first notice to leave on to the module; it has until the kill.
-fn heed(house: &House, mut signals: Signals) {
-    for _ in signals.forever() {
-        if house.desk.kill().is_none() {
+/// Passes the first notice to leave on to the module, which has until the kill, and reloads as often as told.
+fn heed(house: &House, papers: &Papers, mut signals: Signals) {
+    for signal in signals.forever() {
+        if signal == SIGHUP {
+            reload(house, papers);
+        } else if house.desk.kill().is_none() {
             log::info!("{} was told to leave", house.warrant.name);
             house.desk.leave(house.clock.now() + house.warrant.stop);
         }
     }
 }
 
+/// Reads the configuration anew. Where it can't be read, the old addresses stand.
+fn reload(house: &House, papers: &Papers) {
+    let warrant = match papers.read() {
+        Ok(warrant) => warrant,
+        Err(what) => return log::error!("reload: nothing changed: {what}"),
+    };
+    let fixed = house.warrant.fixed(&warrant);
+    if !fixed.is_empty() {
+        log::warn!("reload: {} hold until the next start", fixed.join(", "));
+    }
+    let peers = warrant.peers;
+    let new = house.directory.swap(peers);
+    let store = peers.store.map_or("nowhere".into(), |store| store.to_string());
+    let found = if new { "now" } else { "still" };
+    log::info!("reload: agent {found} at {}, roster {}, store {store}", peers.agent, peers.roster);
+    house.agent.look();
+    house.chores.ring();
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/server/src/life/tally.rs
+++ b/crates/server/src/life/tally.rs
@@ -12,6 +12,8 @@
     voided: AtomicU64,
     /// When the last line was written, and the answers of which it told.
     told: Mutex<(f64, u64)>,
+    /// When complaints were last counted from 0, and how many have come since.
+    complaints: Mutex<(f64, u32)>,
 }
 
 impl Tally {
@@ -25,6 +27,23 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Writes a line about what others did wrong. Who does wrong all the time must not flood the log by it.
+    pub fn complain(&self, house: &House, what: std::fmt::Arguments) {
+        let now = house.clock.now();
+        let mut complaints = lock(&self.complaints);
+        if now - complaints.0 > house.limits.summary {
+            let left_out = complaints.1.saturating_sub(house.limits.complaints);
+            if left_out > 0 {
+                log::warn!("log: {left_out} lines about what others did wrong were left out");
+            }
+            *complaints = (now, 0);
+        }
+        complaints.1 += 1;
+        if complaints.1 <= house.limits.complaints {
+            log::warn!("{what}");
+        }
+    }
+
     /// Writes the line, if it is time and there is anything new to tell.
     pub fn report(&self, house: &House, now: f64) {
         let mut told = lock(&self.told);
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -6,9 +6,11 @@
 
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Connections of gateways held at once: the half of the descriptors that they may take.
+    /// Connections of gateways held at once: the half of the descriptors that they may take, and an eighth for
+    /// those of others. One more makes the idlest go; those on their way out may be so many.
     pub gateways: usize,
-    /// Connections to the store, busy and idle together.
+    pub outgoing: usize,
+    /// Connections to the store.
     pub store: usize,
     /// Txns in hand; one more is declined at once, since each takes a coroutine.
     pub txns: usize,
@@ -39,6 +41,8 @@
     pub key_grain: f64,
     /// How long past that a key stays known: a try may lie unread that long.
     pub key_over: f64,
+    /// How long one waits for a key that another of other content holds.
+    pub doubt: f64,
     /// A connection's buffer shrinks back to this when it runs empty.
     pub buffer: usize,
     /// Stack of a coroutine that lives with a txn or a connection, in words of eight bytes.
@@ -51,6 +55,8 @@
     pub log_lines: usize,
     /// Coroutines kept for the next txn.
     pub spare_stacks: usize,
+    /// Lines about what others did wrong between two summaries; more are only counted.
+    pub complaints: u32,
     /// How long the worker sleeps while nothing happens.
     pub idle_poll: Duration,
     /// Between lines that sum up what was done.
@@ -65,8 +71,12 @@
     pub report_wait: Duration,
     /// How long a connection may take to open.
     pub connect: Duration,
-    /// How long an unused connection to the store is kept; the other side closes at 10 s.
-    pub store_idle: f64,
+    /// How long a reply of the store may stand still once a part of it has come.
+    pub stall: f64,
+    /// How long a message may take from its first byte to its last, and a connection to its first message.
+    pub message_wait: f64,
+    /// How long a connection that is only asked for health may lie unused.
+    pub checks_idle: f64,
     /// How long a gateway may take to close what it was asked to leave.
     pub goodbye: f64,
 }
@@ -74,10 +84,11 @@
 impl Limits {
     pub fn new(warrant: &Warrant) -> Limits {
         let (sockets, memory) = (warrant.sockets, (warrant.memory_mb * 1048576.0) as usize);
-        // Descriptors: half to the gateways, a quarter to the store, the rest to the agent, the roster, the
-        // listener, the log, the event loop and to connections that are on their way out.
+        // Descriptors: five eighths to the gateways, a quarter to the store, the rest to the agent, the roster,
+        // the listener, the log, the event loop and to connections that are on their way out.
         Limits {
-            gateways: sockets / 2,
+            gateways: sockets * 5 / 8,
+            outgoing: sockets / 32,
             store: sockets / 4,
             // Each may touch its whole stack and hold a body: at most 45% of the memory.
             txns: (memory * 45 / 100 / (32768 + 4096)).max(64),
@@ -96,21 +107,25 @@
             results: memory / 8,
             key_grain: 0.002,
             key_over: 2.0,
+            doubt: 1.0,
             buffer: 4096,
             stack: 4096,
             stack_deep: 32768,
             stack_thread: 131_072,
             log_lines: 1024,
             spare_stacks: 64,
+            complaints: 20,
             idle_poll: Duration::from_secs(1),
             summary: 10.0,
             chores: Duration::from_millis(100),
             gauges: Duration::from_millis(10),
             mark_wait: 2.0,
             report: Duration::from_millis(1000),
-            report_wait: Duration::from_millis(1000),
+            report_wait: Duration::from_millis(500),
             connect: Duration::from_millis(1000),
-            store_idle: 5.0,
+            stall: 0.3,
+            message_wait: 2.0,
+            checks_idle: 30.0,
             goodbye: 2.0,
         }
     }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -12,7 +12,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match start() {
+    match life::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("puffinladder-server: {what}");
@@ -20,12 +20,3 @@
         }
     }
 }
-
-fn start() -> Result<(), String> {
-    let told = |name: &str| std::env::var(name).ok();
-    let path = told("BALANCER_CONFIG").ok_or("BALANCER_CONFIG should name the configuration file")?;
-    let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-    let (name, listen) = (told("BALANCER_NAME"), told("BALANCER_LISTEN"));
-    let warrant = puffinladder_charter::read_warrant(&text, name.as_deref(), listen.as_deref())?;
-    life::run(warrant)
-}
--- a/crates/server/src/memory/hands.rs
+++ b/crates/server/src/memory/hands.rs
@@ -43,6 +43,8 @@
         body: Vec<u8>,
     },
     Result(Option<Arc<Vec<u8>>>),
+    /// The forerunner never ran: this one is the first now.
+    Free,
     Gone,
     /// The module no longer knows this txn.
     Over,
@@ -64,6 +66,7 @@
             Word::Resume => "resume",
             Word::Returned { .. } => "returned",
             Word::Result(_) => "result",
+            Word::Free => "free",
             Word::Gone => "gone",
             Word::Over => "over",
         }
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -1,24 +1,30 @@
 //! One txn's life, from its reading to its answer and to the end of its run.
 
 use crate::clock;
+use crate::desk::Offer;
 use crate::life::House;
 use crate::memory::hands::{Name, Slip, Word};
-use crate::memory::keys::Key;
+use crate::memory::keys::{Key, Print};
 use crate::wire::gateway::Outlet;
 use crate::wire::resp::{self, Array};
 use crate::wire::store::Call;
 use puffinladder::{Effect, Outcome, Txn};
 use puffinladder_charter::Terms;
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 /// KB under which a held txn's memory stays, by the protocol.
 const MEMORY: f64 = 2000.0;
+/// Times of its product's expiry that a txn may claim as its core time; more can't be meant.
+const HINT: f64 = 10.0;
 
 /// A txn as it was read.
 pub struct Read {
     pub name: Name,
     pub key: Option<Key>,
+    /// Of product and body, for what has a key.
+    pub print: Print,
     /// When it came to the machine, by the Unix clock.
     pub stamp: f64,
     pub news: Txn,
@@ -27,7 +33,7 @@
 
 impl Read {
     /// Decodes `CALL tag class fields body`.
-    pub fn new(terms: &Terms, array: &Array) -> Result<Read, &'static str> {
+    pub fn new(terms: &Terms, array: &Array, prints: &RandomState) -> Result<Read, &'static str> {
         let word = |place| std::str::from_utf8(array.at(place)).unwrap_or_default();
         let class = word(2);
         let product = terms.products.iter().position(|name| name == class).ok_or("an unknown class")?;
@@ -53,22 +59,19 @@
         };
         let memory = number(memory, "a wrong field m")?;
         let rank = number(rank, "a wrong field p")?;
+        let hint = number(hint, "a wrong field h")? / 1e3;
+        let caller = if caller.is_empty() { Some(0) } else { resp::decimal(caller) };
+        let caller = caller.and_then(|caller| u32::try_from(caller).ok()).ok_or("a wrong field f")?;
         // The module adds these up: one absurd figure would turn all others away.
-        if memory >= MEMORY || rank >= 1.0 {
-            return Err("a field m or p out of range");
+        if memory >= MEMORY || rank >= 1.0 || hint > HINT * terms.charter.products[product].expiry {
+            return Err("a field h, m or p out of range");
         }
-        let news = Txn {
-            product,
-            customer,
-            hint: number(hint, "a wrong field h")? / 1e3,
-            memory,
-            rank,
-            caller: number(caller, "a wrong field f")? as u32,
-            repeat: repeat == b"1",
-            ..Txn::default()
-        };
+        let news =
+            Txn { product, customer, hint, memory, rank, caller, repeat: repeat == b"1", ..Txn::default() };
         let stamp = resp::decimal(stamp).ok_or("a wrong field s")? as f64 / 1e3;
-        Ok(Read { name, key, stamp, news, body: array.at(4).to_vec() })
+        let body = array.at(4).to_vec();
+        let print = key.map_or(0, |_| prints.hash_one((product, &body)));
+        Ok(Read { name, key, print, stamp, news, body })
     }
 }
 
@@ -177,7 +180,7 @@
         Answer { house, outlet: &outlet, tag, owed: true }.decline(0.0, false);
         return;
     };
-    may::go!(move || live(&life.0, read, &slip, &outlet, tag));
+    may::go!(move || live(&life.0, read, slip, &outlet, tag));
 }
 
 /// What the agent was last told of a run and has shown no effect of yet.
@@ -213,102 +216,135 @@
     }
 }
 
-fn live(house: &Arc<House>, read: Read, slip: &Arc<Slip>, outlet: &Outlet, tag: u64) {
+fn live(house: &Arc<House>, read: Read, mut slip: Arc<Slip>, outlet: &Outlet, tag: u64) {
     let mut answer = Answer { house, outlet, tag, owed: true };
-    let arrived = house.clock.now() - clock::age(read.stamp);
-    let Some(id) = house.desk.offer(&read, arrived, slip) else {
-        log::warn!("txn: tag {tag} voided: its name is in hand already");
-        return;
-    };
-    let mut place = Place { house, key: read.key, id, left: false };
     let key = read.key.as_ref();
-    let (mut told, mut stamp, mut paused) = (Told::Nothing, 0, false);
-    let mut asked = Asked::default();
-    let mut call: Option<Arc<Call>> = None;
+    // Offered to the module once; again only if it waited for another that then never ran.
     loop {
-        let word = slip.wait();
-        log::trace!("txn {id}: {}", word.verb());
-        match word {
-            // Held until the module has judged its wait: it is given to the cores, or turned away undone.
-            Word::Run => {
-                told = if std::mem::take(&mut paused) { Told::Thaw } else { Told::Launch };
-                stamp = tell(house, told, &read, &asked);
-            }
-            Word::Decline { retry_after, last } => {
-                answer.decline(retry_after, last);
-                place.left = true;
+        let now = house.clock.now();
+        let arrived = now - clock::age(read.stamp);
+        let id = match house.desk.offer(&read, arrived, &slip, now + house.limits.doubt) {
+            Offer::Taken(id) => id,
+            Offer::Named => {
+                house
+                    .tally
+                    .complain(house, format_args!("txn: tag {tag} voided: its name is in hand already"));
                 return;
             }
-            // A repeat of what is in hand or has run gets that one's result.
-            Word::Replay => match key {
-                Some(key) => house.desk.replay(key, slip),
-                None => slip.say(Word::Result(None)),
-            },
-            Word::Result(Some(result)) => {
-                answer.settle(&result);
-                place.leave(Outcome::Done, 0.0);
+            Offer::Other => {
+                house.tally.complain(house, format_args!("txn: tag {tag} voided: its key is another's"));
                 return;
             }
-            Word::Result(None) => {
-                answer.void();
-                place.leave(Outcome::Failed, 0.0);
-                return;
-            }
-            // The run stands at a call, which goes below once the module lets it.
-            Word::AtCall { seq, body } => {
-                told = Told::Nothing;
-                (asked.notice, asked.body) = (seq, body);
-                house.desk.at_call(id);
-            }
-            Word::Call { limit } => {
-                call = Some(Call::begin(house, read.name, asked.body.clone(), limit, slip));
+            Offer::Doubtful => {
+                log::trace!("txn at tag {tag}: waits for its key");
+                match (slip.wait(), outlet.renew(tag)) {
+                    (Word::Free, Some(new)) => {
+                        slip = new;
+                        continue;
+                    }
+                    (Word::Decline { retry_after, last }, _) => return answer.decline(retry_after, last),
+                    _ => return,
+                }
             }
-            Word::Returned { outcome, took, body } => {
-                call = None;
-                if outcome == Outcome::Done {
-                    (told, asked.reply) = (Told::Deliver, body);
+        };
+        let mut place = Place { house, key: read.key, id, left: false };
+        let (mut told, mut stamp, mut paused) = (Told::Nothing, 0, false);
+        let mut asked = Asked::default();
+        let mut call: Option<Arc<Call>> = None;
+        loop {
+            let word = slip.wait();
+            log::trace!("txn {id}: {}", word.verb());
+            match word {
+                // Held until the module has judged its wait: it is given to the cores, or turned away undone.
+                Word::Run => {
+                    told = if std::mem::take(&mut paused) { Told::Thaw } else { Told::Launch };
                     stamp = tell(house, told, &read, &asked);
                 }
-                house.desk.returned(id, outcome, took);
-            }
-            Word::SkipCall => {
-                told = Told::Forgo;
-                stamp = tell(house, told, &read, &asked);
-            }
-            // Its due time is near, or its gateway has gone: the duty to answer ends, the run goes on.
-            Word::Void => answer.void(),
-            Word::Gone => {
-                answer.owed = false;
-                house.desk.gone(id);
-            }
-            Word::Pause => {
-                (told, paused) = (Told::Freeze, true);
-                stamp = tell(house, told, &read, &asked);
-            }
-            Word::Ended { outcome, took, body } => {
-                if let Some(call) = call.take() {
-                    call.give_up();
+                Word::Decline { retry_after, last } => {
+                    answer.decline(retry_after, last);
+                    place.left = true;
+                    return;
                 }
-                match outcome {
-                    Outcome::Done => {
-                        let result = Arc::new(body);
-                        house.desk.ran(key, id, Some(&result));
-                        answer.settle(&result);
+                // A repeat of what is in hand or has run gets that one's result.
+                Word::Replay => match key {
+                    Some(key) => house.desk.replay(key, read.print, &slip),
+                    None => slip.say(Word::Result(None)),
+                },
+                // That one never ran after all: this is the first now, and hears its words on a slip of its own.
+                Word::Free => {
+                    place.leave(Outcome::Moot, 0.0);
+                    match outlet.renew(tag) {
+                        Some(new) => slip = new,
+                        None => return,
                     }
-                    Outcome::Moot => house.desk.never_ran(key, id),
-                    _ => house.desk.ran(key, id, None),
+                    break;
                 }
-                answer.void();
-                place.leave(outcome, took);
-                return;
-            }
-            Word::Over => {
-                place.left = true;
-                return;
+                Word::Result(Some(result)) => {
+                    answer.settle(&result);
+                    place.leave(Outcome::Done, 0.0);
+                    return;
+                }
+                Word::Result(None) => {
+                    answer.void();
+                    place.leave(Outcome::Failed, 0.0);
+                    return;
+                }
+                // The run stands at a call, which goes below once the module lets it.
+                Word::AtCall { seq, body } => {
+                    told = Told::Nothing;
+                    (asked.notice, asked.body) = (seq, body);
+                    house.desk.at_call(id);
+                }
+                Word::Call { limit } => {
+                    call = Some(Call::begin(house, read.name, asked.body.clone(), limit, &slip));
+                }
+                Word::Returned { outcome, took, body } => {
+                    call = None;
+                    if outcome == Outcome::Done {
+                        (told, asked.reply) = (Told::Deliver, body);
+                        stamp = tell(house, told, &read, &asked);
+                    }
+                    house.desk.returned(id, outcome, took);
+                }
+                Word::SkipCall => {
+                    told = Told::Forgo;
+                    stamp = tell(house, told, &read, &asked);
+                }
+                // Its due time is near, or its gateway has gone: the duty to answer ends, the run goes on.
+                Word::Void => answer.void(),
+                Word::Gone => {
+                    answer.owed = false;
+                    house.desk.gone(id);
+                }
+                Word::Pause => {
+                    (told, paused) = (Told::Freeze, true);
+                    stamp = tell(house, told, &read, &asked);
+                }
+                Word::Ended { outcome, took, body } => {
+                    if let Some(call) = call.take() {
+                        call.give_up();
+                    }
+                    match outcome {
+                        Outcome::Done => {
+                            let result = Arc::new(body);
+                            house.desk.ran(key, id, Some(&result));
+                            answer.settle(&result);
+                        }
+                        Outcome::Moot => house.desk.never_ran(key, id),
+                        _ => house.desk.ran(key, id, None),
+                    }
+                    answer.void();
+                    place.leave(outcome, took);
+                    return;
+                }
+                Word::Over => {
+                    place.left = true;
+                    return;
+                }
+                // The link to the agent is new: what it may not have heard is said again.
+                Word::Resume if house.agent.heard(stamp) => {}
+                Word::Resume => stamp = tell(house, told, &read, &asked),
             }
-            // The link to the agent is new: what it may not have heard is said again.
-            Word::Resume if house.agent.heard(stamp) => {}
-            Word::Resume => stamp = tell(house, told, &read, &asked),
         }
     }
 }
@@ -330,9 +366,9 @@
         let (slip, waits, key) = (Arc::new(Slip::default()), Arc::new(Slip::default()), [b'a'; 32]);
         outlet.open(7, &slip);
         let news = Txn { product: 1, ..Txn::default() };
-        let read = Read { name: [b'1'; 16], key: Some(key), stamp: 0.0, news, body: Vec::new() };
-        let id = house.desk.offer(&read, 0.0, &slip).unwrap();
-        house.desk.replay(&key, &waits);
+        let read = Read { name: [b'1'; 16], key: Some(key), print: 5, stamp: 0.0, news, body: Vec::new() };
+        let Offer::Taken(id) = house.desk.offer(&read, 0.0, &slip, 0.0) else { panic!("not taken") };
+        house.desk.replay(&key, 5, &waits);
         let died = catch_unwind(AssertUnwindSafe(|| {
             let _answer = Answer { house: &house, outlet: &outlet, tag: 7, owed: true };
             let _place = Place { house: &house, key: Some(key), id, left: false };
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -10,6 +10,7 @@
 use puffinladder::{Gauges, Outcome};
 use serde_json::Value;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -102,6 +103,11 @@
         }
     }
 
+    /// Has the link look whether its address still holds.
+    pub fn look(&self) {
+        self.lock().wake();
+    }
+
     /// Sends an object that lacks its end, and says under which stamp; one that can't go now is not kept.
     fn send(&self, line: Vec<u8>) -> u64 {
         let mut link = self.lock();
@@ -154,16 +160,17 @@
     let mut heard = 0;
     let mut quiet = false;
     loop {
-        match TcpStream::connect_timeout(&house.warrant.agent, house.limits.connect) {
+        let address = house.directory.peers().agent;
+        match TcpStream::connect_timeout(&address, house.limits.connect) {
             Ok(stream) => {
                 quiet = false;
                 let _ = stream.set_nodelay(true);
                 let before = heard;
-                let Err(end) = talk(house, &stream, &mut heard);
+                let Err(end) = talk(house, address, &stream, &mut heard);
                 house.agent.lock().close();
                 log::warn!("agent: link lost behind notice {heard}: {end}");
-                // A link that brought something is sought again at once.
-                if heard > before {
+                // A link that brought something is sought again at once, and so is an agent that moved.
+                if heard > before || house.directory.peers().agent != address {
                     continue;
                 }
             }
@@ -182,7 +189,12 @@
 }
 
 /// Speaks until the link ends, and says why it did.
-fn talk(house: &Arc<House>, stream: &TcpStream, heard: &mut u64) -> Result<Infallible, String> {
+fn talk(
+    house: &Arc<House>,
+    address: SocketAddr,
+    stream: &TcpStream,
+    heard: &mut u64,
+) -> Result<Infallible, String> {
     let mut input = Ring::new(house.limits.buffer, house.limits.line);
     {
         let mut link = house.agent.lock();
@@ -207,6 +219,9 @@
                 return Err("an oversized line".into());
             }
         }
+        if house.directory.peers().agent != address {
+            return Err("the agent is found elsewhere now".into());
+        }
         let mut link = house.agent.lock();
         if link.broken {
             return Err("it reads too slowly or answers no sample".into());
@@ -246,7 +261,10 @@
         let slip = Name::try_from(word("id").as_bytes()).ok().and_then(|name| house.desk.slip(&name));
         match slip {
             Some(slip) => slip.say(what),
-            None => log::info!("agent: {} for a txn that is not in hand: {}", word("op"), word("id")),
+            None => {
+                let (op, id) = (word("op"), word("id"));
+                house.tally.complain(house, format_args!("agent: {op} for a txn that is not in hand: {id}"));
+            }
         }
     };
     match word("op") {
@@ -290,7 +308,8 @@
             to(Word::Ended { outcome, took, body: body()? });
         }
         "refusal" => {
-            log::warn!("agent: {} refused for {}", word("end"), word("id"));
+            let (end, id) = (word("end"), word("id"));
+            house.tally.complain(house, format_args!("agent: {end} refused for {id}"));
             if word("end") == "launch" {
                 to(Word::Ended { outcome: Outcome::Moot, took: 0.0, body: Vec::new() });
             }
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -6,6 +6,7 @@
 use crate::lock::lock;
 use crate::memory::hands::{Slip, Word};
 use crate::txn;
+use may::coroutine;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use std::collections::{BTreeSet, HashMap};
@@ -33,9 +34,30 @@
     /// When it was asked to be left, and when it was last in use.
     leaving: Option<f64>,
     used: f64,
+    /// Since when a message is unfinished; the first one is from the start.
+    unfinished: Option<f64>,
+    spoke: bool,
     checks: bool,
 }
 
+impl Counter {
+    /// What a read brought: the end of a message, or all of it.
+    fn progress(&mut self, whole: bool, empty: bool, now: f64) {
+        self.spoke |= whole;
+        if whole || empty {
+            self.unfinished = None;
+        }
+        if !empty {
+            self.unfinished.get_or_insert(now);
+        }
+    }
+
+    /// Whether it may be closed without harm: nothing on it is owed an answer or has yet to be read.
+    fn idle(&self) -> bool {
+        !self.closed && self.open.is_empty() && self.out.is_empty()
+    }
+}
+
 /// Which tags were used: all up to one, and some above it.
 #[derive(Default)]
 struct Tags {
@@ -68,6 +90,8 @@
             closed: false,
             leaving: None,
             used: house.clock.now(),
+            unfinished: Some(house.clock.now()),
+            spoke: false,
             checks: false,
         };
         Outlet { counter: Mutex::new(counter), waker: stream.waker() }
@@ -87,6 +111,14 @@
         self.lock().out.whole().to_vec()
     }
 
+    /// A new slip for a tag that is still owed its answer.
+    pub fn renew(&self, tag: u64) -> Option<Arc<Slip>> {
+        let mut counter = self.lock();
+        let slip = counter.open.get_mut(&tag)?;
+        *slip = Arc::default();
+        Some(slip.clone())
+    }
+
     /// Gives the one answer that a tag is owed; none goes out where the gateway has stopped waiting.
     pub fn answer(&self, house: &House, tag: u64, word: &str, fields: &[u8], body: &[u8]) {
         let mut counter = self.lock();
@@ -108,21 +140,30 @@
         if hogs || counter.out.put(&bytes).is_err() {
             house.gateways.unsent.fetch_sub(bytes.len(), Ordering::Relaxed);
             counter.closed = true;
-            log::warn!("gateway: a connection closed, {} bytes lay unread there", counter.out.len());
+            let unread = counter.out.len();
+            house.tally.complain(
+                house,
+                format_args!("gateway: a connection closed, {unread} bytes lay unread there"),
+            );
         }
         self.waker.wakeup();
     }
 }
 
 impl Gateways {
-    /// Asks connections that lay unused for `keep` to be left, and closes those that were not left in time.
-    pub fn close_idle(&self, house: &House, keep: f64) {
+    /// Asks connections that lay unused for `keep` to be left, closes those that were not left in time, and
+    /// wakes those with a message that ought to be finished.
+    pub fn tidy(&self, house: &House, keep: f64) {
         let now = house.clock.now();
         for outlet in self.lock().values() {
             let mut counter = outlet.lock();
-            if !counter.open.is_empty() || counter.closed || counter.checks {
+            if counter.unfinished.is_some_and(|since| now - since > house.limits.message_wait) {
+                outlet.waker.wakeup();
+            }
+            if !counter.idle() {
                 continue;
             }
+            let keep = if counter.checks { keep.max(house.limits.checks_idle) } else { keep };
             match counter.leaving {
                 None if now - counter.used > keep => {
                     counter.leaving = Some(now);
@@ -139,6 +180,22 @@
         }
     }
 
+    /// Closes the connection that can best be done without: one that has said nothing yet, else the one that
+    /// lay unused for longest. A gateway that sends there at this moment sends once more. Whether there is any.
+    fn make_room(&self) -> bool {
+        let outlets = self.lock();
+        let idle = outlets.values().filter_map(|outlet| {
+            let counter = outlet.lock();
+            counter.idle().then(|| (counter.spoke, counter.used, outlet))
+        });
+        let Some((.., outlet)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) else {
+            return false;
+        };
+        outlet.lock().closed = true;
+        outlet.waker.wakeup();
+        true
+    }
+
     pub fn count(&self) -> usize {
         self.lock().len()
     }
@@ -148,24 +205,36 @@
     }
 }
 
-/// Accepts for as long as the process lives.
+/// Accepts for as long as the process lives. Nothing waits in the backlog, where it would be read by nobody:
+/// with all seats taken the idlest connection makes room, and where all are at work the new one closes.
 pub fn listen(house: &Arc<House>, listener: TcpListener) {
     let mut serial = 0;
     loop {
-        // Connections beyond the gateways' share of descriptors wait in the backlog.
-        while house.gateways.count() >= house.limits.gateways {
-            house.chores.wait();
-        }
         match listener.accept() {
             Ok((stream, _)) => {
                 serial += 1;
                 let _ = stream.set_nodelay(true);
-                let house = house.clone();
-                may::go!(move || serve(&house, stream, serial));
+                if house.gateways.count() >= house.limits.gateways && !house.gateways.make_room() {
+                    house.tally.complain(
+                        house,
+                        format_args!("gateway: no seat for a new connection, all are at work"),
+                    );
+                    continue;
+                }
+                let outlet = Arc::new(Outlet::new(house, &stream));
+                house.gateways.lock().insert(serial, outlet.clone());
+                let seat = Seat { house: house.clone(), outlet, serial };
+                may::go!(move || serve(&seat, &stream));
+                // The new one is read, and the one that made room is gone, before the next comes.
+                coroutine::yield_now();
+                while house.gateways.count() >= house.limits.gateways + house.limits.outgoing {
+                    house.chores.wait();
+                }
             }
             Err(e) => {
                 // Descriptors may have run out: others close soon.
                 log::warn!("listener: no connection accepted: {e}");
+                house.gateways.make_room();
                 house.chores.wait();
             }
         }
@@ -173,13 +242,13 @@
 }
 
 /// A connection's place among the others; whatever ends it, its txns count as gone.
-struct Seat<'a> {
-    house: &'a House,
+struct Seat {
+    house: Arc<House>,
     outlet: Arc<Outlet>,
     serial: usize,
 }
 
-impl Drop for Seat<'_> {
+impl Drop for Seat {
     fn drop(&mut self) {
         self.house.gateways.lock().remove(&self.serial);
         let mut counter = self.outlet.lock();
@@ -190,12 +259,9 @@
     }
 }
 
-fn serve(house: &Arc<House>, stream: TcpStream, serial: usize) {
-    let outlet = Arc::new(Outlet::new(house, &stream));
-    house.gateways.lock().insert(serial, outlet.clone());
-    let seat = Seat { house, outlet, serial };
-    if let Err(what) = talk(house, &stream, &seat.outlet) {
-        log::warn!("gateway: a connection closed: {what}");
+fn serve(seat: &Seat, stream: &TcpStream) {
+    if let Err(what) = talk(&seat.house, stream, &seat.outlet) {
+        seat.house.tally.complain(&seat.house, format_args!("gateway: a connection closed: {what}"));
     }
 }
 
@@ -210,11 +276,14 @@
                 Ok(Filled::NotYet) => break (false, false),
                 Ok(Filled::Ended) | Err(_) => break (true, false),
             }
+            let mut whole = false;
             while let Some(array) = resp::array(input.whole(), house.limits.body)? {
                 let size = array.size;
                 take(house, outlet, &array)?;
                 input.consume(size);
+                whole = true;
             }
+            outlet.lock().progress(whole, input.is_empty(), house.clock.now());
             if input.len() > house.limits.message {
                 return Err("an oversized message".into());
             }
@@ -229,9 +298,14 @@
         if ended || counter.closed || written.is_err() {
             return Ok(());
         }
+        // All that has come is read: what is unfinished now has had its time.
+        let late = |since| house.clock.now() - since > house.limits.message_wait;
+        if !more && counter.unfinished.is_some_and(late) {
+            return Err(if input.is_empty() { "no first message" } else { "an unfinished message" }.into());
+        }
         drop(counter);
         if more {
-            may::coroutine::yield_now();
+            coroutine::yield_now();
         } else {
             stream.wait_io();
         }
@@ -272,10 +346,10 @@
     let slip = Arc::new(Slip::default());
     counter.open.insert(tag, slip.clone());
     drop(counter);
-    match txn::Read::new(&house.warrant.terms, array) {
+    match txn::Read::new(&house.warrant.terms, array, &house.prints) {
         Ok(read) => txn::begin(house, read, slip, outlet.clone(), tag),
         Err(what) => {
-            log::warn!("gateway: tag {tag} voided unread: {what}");
+            house.tally.complain(house, format_args!("gateway: tag {tag} voided unread: {what}"));
             outlet.answer(house, tag, "500", &[], &[]);
         }
     }
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -1,31 +1,35 @@
-//! Calls to the store: pooled connections, one call each at a time, each call in a coroutine of its own.
+//! Calls to the store, each in a coroutine and on a connection of its own.
+//!
+//! Connections are not used twice: what came too much behind a reply could be taken for the next one's, and a
+//! break on a connection that lay unused can't be told from a call that ran.
 
 use super::http;
 use super::ring::{Filled, Ring};
 use crate::life::House;
 use crate::lock::lock;
 use crate::memory::hands::{Name, Slip, Word};
+use may::coroutine::{self, Coroutine};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use puffinladder::Outcome;
-use std::io::{self, Read};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 #[derive(Default)]
 pub struct Store {
-    /// Unused connections, and since when.
-    idle: Mutex<Vec<(Line, f64)>>,
-    /// Connections in all, and the calls that are out.
-    open: AtomicUsize,
+    places: Mutex<Places>,
+    /// The calls that are out.
     calls: Mutex<Vec<Arc<Call>>>,
 }
 
-/// One connection, with a buffer a direction.
-struct Line {
-    stream: TcpStream,
-    input: Ring,
-    out: Ring,
+/// The store's share of descriptors.
+#[derive(Default)]
+struct Places {
+    taken: usize,
+    /// Who waits for one, longest first.
+    waiting: VecDeque<Coroutine>,
 }
 
 /// A call that is out.
@@ -33,6 +37,10 @@
     deadline: f64,
     given_up: AtomicBool,
     over: AtomicBool,
+    /// A part of the reply has come.
+    replying: AtomicBool,
+    /// How to wake it: while it waits for a place, then while it speaks.
+    waits: Mutex<Option<Coroutine>>,
     waker: Mutex<Option<WaitIoWaker>>,
 }
 
@@ -50,6 +58,8 @@
             deadline: begun + limit,
             given_up: AtomicBool::new(false),
             over: AtomicBool::new(false),
+            replying: AtomicBool::new(false),
+            waits: Mutex::default(),
             waker: Mutex::default(),
         });
         lock(&house.store.calls).push(call.clone());
@@ -76,6 +86,8 @@
     fn wake(&self) {
         if let Some(waker) = &*lock(&self.waker) {
             waker.wakeup();
+        } else if let Some(waits) = &*lock(&self.waits) {
+            waits.unpark();
         }
     }
 
@@ -97,11 +109,24 @@
         body: &[u8],
         limit: f64,
     ) -> Result<(Outcome, Vec<u8>), Stop> {
-        let mut held = self.connection(house)?;
-        let Some(Line { stream, input, out }) = &mut held.line else {
-            return Err(Stop::Ended(Outcome::Unreachable));
+        let _place = self.place(house)?;
+        let limits = &house.limits;
+        // A connection that never came up proves that no call ran.
+        let unreachable = Stop::Ended(Outcome::Unreachable);
+        let stream = loop {
+            let Some(address) = house.directory.peers().store else { return Err(unreachable) };
+            let left = Duration::from_secs_f64((self.deadline - house.clock.now()).max(0.001));
+            match TcpStream::connect_timeout(&address, left.min(limits.connect)) {
+                Ok(stream) => break stream,
+                // It moved meanwhile.
+                Err(_) if house.directory.peers().store != Some(address) => {}
+                Err(_) => return Err(unreachable),
+            }
         };
+        let _ = stream.set_nodelay(true);
         *lock(&self.waker) = Some(stream.waker());
+        let mut input = Ring::new(limits.buffer, limits.head + limits.reply);
+        let mut out = Ring::new(limits.buffer, limits.head + limits.line);
         let name = String::from_utf8_lossy(name);
         let wait = (limit * 1e3).ceil();
         let more = format!("X-For-Request: {name}\r\nX-Wait-Ms: {wait}\r\n");
@@ -110,6 +135,7 @@
         }
         // Once a byte may have gone, a break proves nothing.
         let broken = Stop::Ended(Outcome::BrokenOff);
+        let mut begun = None;
         loop {
             if out.drain_to(stream.inner()).is_err() {
                 return Err(broken);
@@ -120,70 +146,48 @@
                     Ok(Filled::NotYet) => break,
                     Ok(Filled::Ended) | Err(_) => return Err(broken),
                 }
-                match http::reply(input.whole(), house.limits.head, house.limits.reply) {
+                match http::reply(input.whole(), limits.head, limits.reply) {
                     Ok(None) => {}
                     Ok(Some(reply)) => {
-                        let outcome = outcome(reply.status, reply.not_run);
-                        let (stays, size, body) = (reply.stays, reply.size, reply.body.to_vec());
-                        let clean = out.is_empty() && size == input.len();
-                        input.consume(size);
-                        held.reusable = stays && clean;
-                        return Ok((outcome, body));
+                        return Ok((outcome(reply.status, reply.not_run), reply.body.to_vec()))
                     }
                     Err(what) => {
-                        log::warn!("store: a call broke off: {what}");
+                        log::debug!("store: a call broke off: {what}");
                         return Err(broken);
                     }
                 }
             }
             self.check(house, Outcome::TimedOut)?;
+            // A reply that stops half way does not go on: what it lacks was never meant to come.
+            if !input.is_empty() {
+                let now = house.clock.now();
+                self.replying.store(true, Ordering::Relaxed);
+                if now - *begun.get_or_insert(now) > limits.stall {
+                    return Err(broken);
+                }
+            }
             stream.wait_io();
         }
     }
 
-    /// A connection within the store's share of descriptors; waiting for one counts in the call's limit.
-    fn connection<'a>(&self, house: &'a House) -> Result<Held<'a>, Stop> {
+    /// A place in the store's share of descriptors; waiting for one counts in the call's limit.
+    fn place<'a>(&self, house: &'a House) -> Result<Place<'a>, Stop> {
+        *lock(&self.waits) = Some(coroutine::current());
         loop {
-            let now = house.clock.now();
-            let idle = lock(&house.store.idle).pop();
-            if let Some((line, since)) = idle {
-                let sound = now - since <= house.limits.store_idle && quiet(&line.stream);
-                let held = Held { house, line: Some(line), reusable: false };
-                if sound {
-                    return Ok(held);
+            {
+                let mut places = lock(&house.store.places);
+                if places.taken < house.limits.store {
+                    places.taken += 1;
+                    return Ok(Place(house));
                 }
-                continue;
-            }
-            if house.store.open.fetch_add(1, Ordering::Relaxed) < house.limits.store {
-                break;
+                places.waiting.push_back(coroutine::current());
             }
-            house.store.open.fetch_sub(1, Ordering::Relaxed);
             self.check(house, Outcome::Full)?;
-            house.chores.wait();
+            coroutine::park();
         }
-        let mut held = Held { house, line: None, reusable: false };
-        // A connection that never came up proves that no call ran.
-        let Some(address) = house.warrant.store else { return Err(Stop::Ended(Outcome::Unreachable)) };
-        let left = std::time::Duration::from_secs_f64((self.deadline - house.clock.now()).max(0.001));
-        let stream = TcpStream::connect_timeout(&address, left.min(house.limits.connect));
-        let stream = stream.map_err(|_| Stop::Ended(Outcome::Unreachable))?;
-        let _ = stream.set_nodelay(true);
-        let limits = &house.limits;
-        held.line = Some(Line {
-            stream,
-            input: Ring::new(limits.buffer, limits.head + limits.reply),
-            out: Ring::new(limits.buffer, limits.head + limits.line),
-        });
-        Ok(held)
     }
 }
 
-/// Whether an unused connection is still open, with nothing unasked on it.
-fn quiet(stream: &TcpStream) -> bool {
-    let end = stream.inner().read(&mut [0; 1]);
-    end.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// What a reply proves, and never more.
 fn outcome(status: u16, not_run: bool) -> Outcome {
     match (status, not_run) {
@@ -195,43 +199,34 @@
     }
 }
 
-/// A connection's place in the store's share: back to the pool or closed, whatever happens.
-struct Held<'a> {
-    house: &'a House,
-    line: Option<Line>,
-    reusable: bool,
-}
+/// A place among the store's connections, given on when its call is over.
+struct Place<'a>(&'a House);
 
-impl Drop for Held<'_> {
+impl Drop for Place<'_> {
     fn drop(&mut self) {
-        match self.line.take().filter(|_| self.reusable) {
-            Some(line) => {
-                let now = self.house.clock.now();
-                lock(&self.house.store.idle).push((line, now));
-            }
-            None => {
-                self.house.store.open.fetch_sub(1, Ordering::Relaxed);
-            }
+        let mut places = lock(&self.0.store.places);
+        places.taken -= 1;
+        if let Some(next) = places.waiting.pop_front() {
+            next.unpark();
         }
     }
 }
 
 impl Store {
     pub fn count(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        lock(&self.places).taken
     }
 
-    /// Wakes calls whose time is up, and closes what lay unused before the other side does.
-    pub fn hurry(&self, now: f64) {
+    /// Wakes calls whose time is up, those whose reply may have stopped half way, and those for whom there is
+    /// a place that was offered to one that no longer wants it.
+    pub fn hurry(&self, now: f64, most: usize) {
+        let mut places = lock(&self.places);
+        let free = most.saturating_sub(places.taken).min(places.waiting.len());
+        places.waiting.drain(..free).for_each(|waiting| waiting.unpark());
+        drop(places);
         let mut calls = lock(&self.calls);
         calls.retain(|call| !call.over.load(Ordering::Relaxed));
-        calls.iter().filter(|call| now >= call.deadline).for_each(|call| call.wake());
-    }
-
-    pub fn close_idle(&self, now: f64, keep: f64) {
-        let mut idle = lock(&self.idle);
-        let before = idle.len();
-        idle.retain(|(_, since)| now - since <= keep);
-        self.open.fetch_sub(before - idle.len(), Ordering::Relaxed);
+        let due = |call: &&Arc<Call>| now >= call.deadline || call.replying.load(Ordering::Relaxed);
+        calls.iter().filter(due).for_each(|call| call.wake());
     }
 }
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -39,11 +39,17 @@
 impl Agent {
     /// Listens; `greet` says whether it is up already.
     pub fn open(address: &str, greet: bool) -> Agent {
+        let mut agent = Agent { address: ([127, 0, 0, 1], 0).into(), farm: Arc::default() };
+        agent.farm.lock().up = greet;
+        agent.address = agent.listen(address);
+        agent
+    }
+
+    /// Listens at another address too; runs and notices go on.
+    pub fn listen(&self, address: &str) -> SocketAddr {
         let listener = TcpListener::bind(address).expect("an address for the agent");
         let address = listener.local_addr().expect("an address");
-        let agent = Agent { address, farm: Arc::default() };
-        agent.farm.lock().up = greet;
-        let farm = agent.farm.clone();
+        let farm = self.farm.clone();
         thread::spawn(move || {
             for link in listener.incoming().flatten() {
                 link.set_nodelay(true).expect("no delay");
@@ -53,7 +59,7 @@
                 thread::spawn(move || serve(&farm, link));
             }
         });
-        agent
+        address
     }
 
     /// Comes up, if it was late.
@@ -85,6 +91,14 @@
         });
     }
 
+    /// Refuses a run that holds, as that of a txn it does not know.
+    pub fn refuse(&self, id: &str) {
+        self.farm.change(|farm| {
+            farm.runs.remove(id).expect("a run to refuse");
+            farm.say(&json!({"op": "refusal", "end": "launch", "id": id}));
+        });
+    }
+
     /// The first command of this kind for this txn, once it has come; of any txn for an empty id.
     pub fn hears(&self, op: &str, id: &str) -> Value {
         self.farm.wait(&format!("{op} of {id}"), |farm| farm.commands(op, id).next().cloned())
--- a/examples/toy/src/http.rs
+++ b/examples/toy/src/http.rs
@@ -1,5 +1,6 @@
 //! Store and roster. The body of a call says what becomes of it: `busy`, `error`, `late`, `void`, `junk`,
-//! `break` (the connection ends) or `hang` (nothing comes); any other is answered with `stored` and the body.
+//! `short` (the reply stops half way), `break` (the connection ends) or `hang` (nothing comes); any other is answered
+//! with `stored` and the body, if it holds `more` with what is not its own before and behind it.
 
 use crate::Watched;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -28,11 +29,16 @@
                 "late" => ("504 Late", "", ""),
                 "void" => ("409 Void", "X-Not-Run: 1\r\n", ""),
                 "junk" => return "no reply at all\r\n\r\n".into(),
+                "short" => return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".into(),
                 "break" | "hang" => return String::new(),
                 body => ("200 OK", "", body),
             };
             let body = if status == "200 OK" { format!("stored {body}") } else { body.into() };
-            format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
+            let reply = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len());
+            match body.contains("more") {
+                true => format!("HTTP/1.1 102 Processing\r\n\r\n{reply}{reply}\0noise"),
+                false => reply,
+            }
         })
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,7 +49,7 @@
 }
 
 /// One product: the terms on which its txns are taken.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Product {
     pub sla: f64,
     /// What a txn's SLA time gains for each second of its work.
@@ -67,13 +67,13 @@
 }
 
 /// One customer: the rate over the whole fleet up to which its txns keep their value.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
     pub quota: f64,
 }
 
 /// What a server is told when its process comes up.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Charter {
     pub servers: f64,
     pub callers: f64,
