--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -31,6 +31,8 @@
     Doubtful,
     /// One of other content ran under its key.
     Other,
+    /// There is no room for its key: a repeat could run, so it must not.
+    Full,
 }
 
 /// What is decided with, and on.
@@ -112,6 +114,10 @@
                 plan.hands.drop(id);
                 return Offer::Other;
             }
+            (Holder::Full, _) => {
+                plan.hands.drop(id);
+                return Offer::Full;
+            }
             _ => 0,
         };
         plan.news.arrived.push(Txn { id, forerunner, ..read.news });
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -20,7 +20,7 @@
 use may::coroutine::Builder;
 use may::net::TcpListener;
 use papers::{Directory, Papers};
-use puffinladder::Brain;
+use puffinladder::{Brain, Charter};
 use puffinladder_charter::Warrant;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -61,8 +61,11 @@
 
 impl House {
     pub fn new(warrant: Warrant) -> Arc<House> {
-        let (limits, charter) = (Limits::new(&warrant), &warrant.terms.charter);
-        let keys = Keys::new(limits.results, limits.key_grain, limits.key_over);
+        let limits = Limits::new(&warrant);
+        let keys = Keys::new(limits.keys, limits.results, limits.key_grain, limits.key_over);
+        // Keys lie in this process, within `limits.keys`: the machine's memory, which the module guards, books
+        // nothing for them.
+        let charter = &Charter { key_memory: 0.0, ..warrant.terms.charter.clone() };
         Arc::new(House {
             directory: Directory::new(warrant.peers),
             clock: Clock::default(),
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -34,7 +34,8 @@
     /// Bytes of a reply's head and of its body, from store and roster.
     pub head: usize,
     pub reply: usize,
-    /// Bytes of results kept for replays.
+    /// Keys known, of 256 bytes each with all that belongs to them, and bytes of results kept for replays.
+    pub keys: usize,
     pub results: usize,
     /// By how much two stamps, which are whole milliseconds, may lie nearer than their txns: a key holds that
     /// much past its window.
@@ -104,6 +105,7 @@
             unsent_agent: memory / 16,
             head: 4096,
             reply: 32768,
+            keys: memory / 12 / 256,
             results: memory / 8,
             key_grain: 0.002,
             key_over: 2.0,
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -21,6 +21,8 @@
     Doubtful,
     /// One of other content that ran.
     Other,
+    /// Nobody, and there is no room for one more key.
+    Full,
 }
 
 /// How far the try that holds the key has come.
@@ -48,15 +50,17 @@
     doubtful: VecDeque<(f64, Arc<Slip>)>,
     kept: usize,
     most: usize,
+    most_keys: usize,
     grain: f64,
     over: f64,
 }
 
 impl Keys {
-    /// Keeps `most` bytes of results; a key ends `grain` seconds late and stays known for `over` more.
-    pub fn new(most: usize, grain: f64, over: f64) -> Keys {
+    /// Knows `most_keys` and keeps `most` bytes of results; a key ends `grain` seconds late and stays known for
+    /// `over` more.
+    pub fn new(most_keys: usize, most: usize, grain: f64, over: f64) -> Keys {
         let (entries, ends, results, doubtful) = Default::default();
-        Keys { entries, ends, results, doubtful, kept: 0, most, grain, over }
+        Keys { entries, ends, results, doubtful, kept: 0, most, most_keys, grain, over }
     }
 
     /// Who holds this key; if nobody does, `id` holds it from now on.
@@ -72,6 +76,8 @@
                 };
             }
             self.release(&key, holder);
+        } else if self.entries.len() >= self.most_keys {
+            return Holder::Full;
         }
         self.entries.insert(key, Entry { id, print, until: f64::MAX, course: Course::Open(Vec::new()) });
         Holder::Nobody
@@ -173,7 +179,7 @@
     use super::*;
 
     fn keys() -> Keys {
-        Keys::new(10, 0.002, 2.0)
+        Keys::new(4, 10, 0.002, 2.0)
     }
     fn heard(slip: &Slip) -> Option<Vec<u8>> {
         match slip.wait() {
@@ -234,6 +240,16 @@
         assert_eq!(keys.read(KEY, 6, 2, 100.0), Holder::Nobody, "what never ran leaves no forerunner");
     }
 
+    #[test]
+    fn beyond_their_number_no_key_is_taken_and_those_known_still_are() {
+        let mut keys = keys();
+        let taken = |keys: &mut Keys, key: u8| keys.read([key; 32], 5, u32::from(key), 100.0);
+        assert!((1..=4).all(|key| taken(&mut keys, key) == Holder::Nobody));
+        assert_eq!((taken(&mut keys, 5), taken(&mut keys, 4)), (Holder::Full, Holder::Same(4)));
+        keys.never_ran(&[1; 32], 1);
+        assert_eq!(taken(&mut keys, 5), Holder::Nobody);
+    }
+
     #[test]
     fn nobody_waits_long_for_a_key_that_one_of_other_content_holds() {
         let (mut keys, slip) = (keys(), Arc::new(Slip::default()));
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -235,6 +235,7 @@
                 house.tally.complain(house, format_args!("txn: tag {tag} voided: its key is another's"));
                 return;
             }
+            Offer::Full => return answer.decline(0.0, false),
             Offer::Doubtful => {
                 log::trace!("txn at tag {tag}: waits for its key");
                 match (slip.wait(), outlet.renew(tag)) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,13 +67,7 @@
 /// Terms of a product, and what its runs have taught.
 #[derive(Default)]
 struct Terms {
-    expiry: f64,
-    sla: f64,
-    sla_stretch: f64,
-    effect: Effect,
-    window: f64,
-    skips: bool,
-    value: f64,
+    told: Product,
     wait: f64,
     /// s that a run of mean size takes outside its calls, of late, and at its best; s at its calls.
     takes: f64,
@@ -81,6 +75,7 @@
     away: f64,
     runs: f64,
     hint: f64,
+    open: usize, // of its runs
 }
 
 /// A customer here: the rate that its quota bears, with what chance puts on it where txns are few.
@@ -189,17 +184,7 @@
         let dearest = bands[bands.len() - 1];
         let terms = |p: &Product| {
             let share = if p.value <= LOW * dearest { WAIT_LOW } else { WAIT };
-            Terms {
-                expiry: p.expiry,
-                sla: p.sla,
-                sla_stretch: p.sla_stretch,
-                effect: p.effect,
-                window: p.window,
-                skips: p.skip_share > 0.0,
-                value: p.value,
-                wait: share * p.expiry,
-                ..Terms::default()
-            }
+            Terms { told: p.clone(), wait: share * p.expiry, ..Terms::default() }
         };
         let account = |c: &Customer| {
             let quota = c.quota / charter.servers;
@@ -260,7 +245,7 @@
             (txn.at_call, txn.tries, txn.ask_at) = (now, 0, now);
         }
         round.ended.iter().for_each(|end| self.ended(now, end, out));
-        round.gone.iter().for_each(|id| self.gone(now, *id, out));
+        round.gone.iter().for_each(|id| self.gone(now, *id, round.gone.len() == 1, out));
         if let Some(kill) = round.leave {
             self.leave = Some((now + self.grace, kill - MARGIN));
             out.health(false, true);
@@ -279,17 +264,13 @@
         let product = news.product.min(self.products.len() - 1);
         let tp = &mut self.products[product];
         let arrived = now - news.unread;
-        let due = if news.not_after > 0.0 { news.not_after } else { arrived + tp.expiry };
+        let due = if news.not_after > 0.0 { news.not_after } else { arrived + tp.told.expiry };
         let due = self.leave.map_or(due, |(_, kill)| due.min(kill));
-        let sla = tp.sla + tp.sla_stretch * news.hint;
-        let mut size = 1.0;
-        if news.hint > 0.0 {
-            tp.hint = learn(tp.hint, news.hint, NEW);
-            size = news.hint / tp.hint;
-        }
-        let referenced = tp.effect == Effect::Referenced;
+        let sla = tp.told.sla + tp.told.sla_stretch * news.hint;
+        let size = if news.hint > 0.0 && tp.hint > 0.0 { news.hint / tp.hint } else { 1.0 };
+        let referenced = tp.told.effect == Effect::Referenced;
         self.repeats += NEW * (f64::from(u8::from(news.repeat)) - self.repeats);
-        self.longest = self.longest.max(news.unread / tp.wait);
+        self.longest = self.longest.max(if now < due { news.unread / tp.wait } else { 0.0 });
         if let Some(account) = self.accounts.get_mut(news.customer).filter(|_| !news.repeat) {
             account.rate += 1.0 / RATE_SPAN;
         }
@@ -310,7 +291,7 @@
         let keys = (self.keys.len() + 1) as f64 * self.key_ram;
         let room = self.used + self.key_ram <= RAM_HOLD * self.ram && keys <= RAM_KEYS * self.ram;
         if referenced && room {
-            let span = (self.products[product].window - news.unread).max(MARGIN) + MARGIN;
+            let span = (self.products[product].told.window - news.unread).max(MARGIN) + MARGIN;
             out.remember(news.id, span);
             self.txns[at].kept = Some(now + span);
             self.used += self.key_ram;
@@ -333,6 +314,8 @@
             let (hint, span) = (txn.size - 1.0, now - txn.begun);
             let on_cores = span / self.weight(txn);
             let tp = &mut self.products[txn.news.product];
+            // Learned from what ran, not from what came: callers may write there what they like.
+            tp.hint = if txn.news.hint > 0.0 { learn(tp.hint, txn.news.hint, NEW) } else { tp.hint };
             let told = (span / tp.takes).min(3.0 * txn.size) - 1.0;
             self.hints_told += NEW * (hint * told - self.hints_told);
             self.hints_seen += NEW * (hint * hint - self.hints_seen);
@@ -340,19 +323,23 @@
             tp.runs += 1.0;
             let most = if tp.runs < NEW_RUNS { f64::MAX } else { RISE * tp.base };
             tp.base = learn(tp.base, on_cores.min(most), 1.0 / tp.runs.min(BASE_RUNS));
-            self.stretch = learn(self.stretch, on_cores / tp.base.min(USUAL * tp.sla), STRETCH_NEW);
+            self.stretch = learn(self.stretch, on_cores / tp.base.min(USUAL * tp.told.sla), STRETCH_NEW);
         }
         self.lingering.extend((txn.stage == Stage::Calling).then_some(now + self.lingers));
         self.drop_hand(at, out);
     }
 
-    fn gone(&mut self, now: f64, id: u32, out: &mut impl Writer) {
+    /// Those who go together went with their connection or gateway; who goes `alone` has lost patience.
+    fn gone(&mut self, now: f64, id: u32, alone: bool, out: &mut impl Writer) {
         let Some(&at) = self.places.get(&id) else { return };
         let txn = &mut self.txns[at];
         txn.answered = true;
-        self.patience = learn(self.patience, now - txn.arrived, STRETCH_NEW);
-        self.going += GOING_NEW * (1.0 - self.going);
-        let inquiry = self.products[txn.news.product].effect == Effect::Inquiry;
+        // Who goes before any run could have ended is not waiting for one.
+        if alone && now - txn.arrived > self.products[txn.news.product].base {
+            self.patience = learn(self.patience, now - txn.arrived, STRETCH_NEW);
+            self.going += GOING_NEW * (1.0 - self.going);
+        }
+        let inquiry = self.products[txn.news.product].told.effect == Effect::Inquiry;
         match txn.stage {
             Stage::Held | Stage::Replaying => drop(self.drop_hand(at, out)),
             // Nobody waits: free the core. A referenced run goes on, since a repeat may want its result.
@@ -382,12 +369,16 @@
         }
         if done && self.call_takes <= CALLS_RISE * self.call_base {
             self.window += (1.0 / self.window).min(self.window);
-        } else if end.outcome != Outcome::Failed && now - self.window_cut > self.call_takes {
+        } else if !matches!(end.outcome, Outcome::Failed | Outcome::BrokenOff)
+            && now - self.window_cut > self.call_takes
+        {
             (self.window, self.window_cut) = (CALLS_CUT * self.window, now); // once for each turn of calls
         }
         let tp = &self.products[txn.news.product];
-        let again = end.outcome.never_ran() || tp.effect == Effect::Inquiry;
-        if !done && !txn.answered && (tp.skips || !again) {
+        let again = end.outcome.never_ran() || tp.told.effect == Effect::Inquiry;
+        // A broken connection says nothing of the next one: once more before a poorer answer.
+        let broken = matches!(end.outcome, Outcome::BrokenOff | Outcome::Unreachable) && txn.tries == 1;
+        if !done && !txn.answered && (tp.told.skip_share > 0.0 && !broken || !again) {
             self.give_up_call(now, at, out);
         }
     }
@@ -395,7 +386,7 @@
     /// A txn whose call can't be had: a poorer answer where one is worth something, else an error.
     fn give_up_call(&mut self, now: f64, at: usize, out: &mut impl Writer) {
         let txn = &mut self.txns[at];
-        if self.products[txn.news.product].skips {
+        if self.products[txn.news.product].told.skip_share > 0.0 {
             out.skip_call(txn.news.id);
             txn.stage = Stage::Running;
             (txn.begun, txn.skipped) = (txn.begun + now - txn.at_call, true);
@@ -422,7 +413,8 @@
             // A hung call must hold neither its txn till the end nor its place in the window: it is left out
             // in good time, where it may, else given up with its SLA time.
             let left = txn.arrived + txn.sla - now;
-            let limit = if tp.skips { CALL_LEFT * left } else { left.max(CALL_LEFT * txn.sla) };
+            let limit =
+                if tp.told.skip_share > 0.0 { CALL_LEFT * left } else { left.max(CALL_LEFT * txn.sla) };
             out.call(txn.news.id, limit.min(txn.due - now - MARGIN).max(MARGIN));
             txn.stage = Stage::Calling;
             (self.calling, room) = (self.calling + 1, room - 1.0);
@@ -443,7 +435,7 @@
         let account = (1.0 + (over - 1.0) * self.over_quota) / over;
         let work = if self.by_work || tp.takes == 0.0 { 1.0 } else { tp.takes * self.weight(txn) };
         let first = if txn.news.repeat { REPEAT } else { 1.0 };
-        tp.value * account * first / work
+        tp.told.value * account * first / work
     }
 
     /// Place in the hold, and among those who stand at a call: higher worth first, then the older.
@@ -464,7 +456,7 @@
         if now + takes > limit {
             return Some("no time");
         }
-        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.expiry } else { tp.wait };
+        let threshold = if txn.news.repeat { WAIT_REPEAT * tp.told.expiry } else { tp.wait };
         (now - txn.arrived > threshold).then_some("waited")
     }
 
@@ -525,6 +517,10 @@
         self.last_step = now;
         self.finished *= fade;
         self.accounts.iter_mut().for_each(|account| account.rate *= fade);
+        // Guards against a product once found too slow and never tried again: what no run confirms fades.
+        for tp in self.products.iter_mut().filter(|tp| tp.open == 0 && tp.takes > tp.base) {
+            tp.takes = tp.base + fade * (tp.takes - tp.base);
+        }
         self.step_limit(gauges);
         self.step_signal(now, gauges.busy.unwrap_or(0.0), out);
         self.step_health(now, out);
@@ -596,7 +592,7 @@
                 }
             } else if txn.stage == Stage::AtCall
                 && now - txn.at_call > CALL_WAIT * txn.sla
-                && self.products[txn.news.product].skips
+                && self.products[txn.news.product].told.skip_share > 0.0
                 && self.room(now) > 0.0
             {
                 // The same judgement at the second queue: who waited too long for a call leaves it out.
@@ -660,6 +656,7 @@
             self.keys.pop_front();
         }
         (self.running, self.calling) = (0, 0);
+        self.products.iter_mut().for_each(|tp| tp.open = 0);
         let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
@@ -671,10 +668,11 @@
             self.calling += usize::from(txn.stage == Stage::Calling);
             if txn.stage == Stage::Running {
                 self.running += 1;
+                self.products[txn.news.product].open += 1;
                 let tp = &self.products[txn.news.product];
                 // A machine slow from its first run has no base to tell by: runs that outlast SLA times tell.
                 let known = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base };
-                let takes = known.min(USUAL * tp.sla) * self.weight(txn);
+                let takes = known.min(USUAL * tp.told.sla) * self.weight(txn);
                 (age, usual) = (age + now - txn.begun, usual + takes);
                 old += usize::from(now - txn.begun > SLOW * takes);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,7 +49,7 @@
 }
 
 /// One product: the terms on which its txns are taken.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Product {
     pub sla: f64,
     /// What a txn's SLA time gains for each second of its work.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -251,6 +251,20 @@
     assert_eq!(host.returned(1, Outcome::TimedOut, 2.0), ["skip 1"]);
 }
 
+#[test]
+fn a_call_that_broke_is_asked_once_more_and_says_nothing_of_load() {
+    let mut host = Host::new(&Charter { below: Below::NextTier, ..charter() });
+    host.arrive(&[txn(1, 0)]);
+    host.at_call(1);
+    assert!(host.returned(1, Outcome::BrokenOff, 0.1).is_empty());
+    assert_eq!(count(&host.pass(0.1), "call 1"), 1);
+    assert_eq!(host.returned(1, Outcome::BrokenOff, 0.1), ["skip 1"]);
+    // One with an effect may have had it.
+    host.arrive(&[txn(2, 2)]);
+    host.at_call(2);
+    assert_eq!(host.returned(2, Outcome::BrokenOff, 0.1), ["void 2"]);
+}
+
 #[test]
 fn calls_that_hang_or_fail_keep_the_way_to_a_next_tier_open() {
     let mut host = Host::new(&Charter { below: Below::NextTier, cores: 20.0, ..charter() });
@@ -381,6 +395,58 @@
     assert_eq!(count(&host.pass(0.6), "decline 20"), 1);
 }
 
+#[test]
+fn who_goes_with_a_lost_connection_has_not_lost_patience() {
+    let mut host = full(&charter());
+    let ids: Vec<u32> = (10..20).collect();
+    host.arrive(&ids.iter().map(|&id| txn(id, 0)).collect::<Vec<_>>());
+    host.pass(0.1);
+    for pair in ids.chunks(2) {
+        host.tell(Round { gone: pair, ..Round::default() });
+    }
+    host.arrive(&[txn(20, 0)]);
+    assert_eq!(count(&host.pass(1.5), "decline 20"), 0);
+}
+
+#[test]
+fn a_product_once_found_too_slow_is_tried_again() {
+    let mut host = Host::new(&charter());
+    let mut pair = |id, span, rest| {
+        host.pass(rest);
+        let said = host.arrive(&[txn(id, 0), txn(id + 1, 0)]);
+        host.pass(span);
+        host.done(id);
+        host.done(id + 1);
+        count(&said, "run")
+    };
+    assert!((1..31).step_by(2).all(|id| pair(id, 0.1, 0.0) == 2));
+    // Trouble: every run outlasts its SLA time, until none of them is started together with another.
+    let last = (31..999).step_by(2).find(|&id| pair(id, 9.0, 0.0) < 2).unwrap();
+    assert_eq!(pair(last + 2, 0.1, 10.0), 2);
+}
+
+#[test]
+fn what_callers_claim_changes_no_size_unless_it_runs() {
+    let mut host = full(&charter());
+    let hinted = |id, hint| Txn { hint, ..txn(id, 0) };
+    host.done(1);
+    host.done(2);
+    for id in 3..9 {
+        host.arrive(&[hinted(id, 1.0)]);
+        host.pass(1.0);
+        host.done(id);
+    }
+    host.arrive(&[txn(9, 2), txn(10, 2)]);
+    for id in 11..99 {
+        host.arrive(&[hinted(id, 99.0)]);
+        host.tell(Round { gone: &[id], ..Round::default() });
+    }
+    // One like those that ran does not count as small beside what was only claimed.
+    host.arrive(&[txn(101, 0), hinted(100, 1.0)]);
+    let said = host.done(9);
+    assert_eq!(count(&said, "run 101"), 1, "{said:?}");
+}
+
 #[test]
 fn a_machine_slow_from_its_first_run_is_told_by_runs_that_outlast_their_sla_time() {
     let mut host = full(&Charter { list_follows: true, ..charter() });
