--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,7 +75,7 @@
     away: f64,
     runs: f64,
     hint: f64,
-    open: usize, // of its runs
+    seen: f64, // when one of its runs was last open
 }
 
 /// A customer here: the rate that its quota bears, with what chance puts on it where txns are few.
@@ -518,7 +518,7 @@
         self.finished *= fade;
         self.accounts.iter_mut().for_each(|account| account.rate *= fade);
         // Guards against a product once found too slow and never tried again: what no run confirms fades.
-        for tp in self.products.iter_mut().filter(|tp| tp.open == 0 && tp.takes > tp.base) {
+        for tp in self.products.iter_mut().filter(|tp| now - tp.seen > RATE_SPAN && tp.takes > tp.base) {
             tp.takes = tp.base + fade * (tp.takes - tp.base);
         }
         self.step_limit(gauges);
@@ -656,7 +656,6 @@
             self.keys.pop_front();
         }
         (self.running, self.calling) = (0, 0);
-        self.products.iter_mut().for_each(|tp| tp.open = 0);
         let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
         self.used = self.keys.len() as f64 * self.key_ram;
         for (_, txn) in &self.txns {
@@ -668,7 +667,7 @@
             self.calling += usize::from(txn.stage == Stage::Calling);
             if txn.stage == Stage::Running {
                 self.running += 1;
-                self.products[txn.news.product].open += 1;
+                self.products[txn.news.product].seen = now;
                 let tp = &self.products[txn.news.product];
                 // A machine slow from its first run has no base to tell by: runs that outlast SLA times tell.
                 let known = if tp.runs < NEW_RUNS { f64::MAX } else { tp.base };
