Connections that came again may lie unused for longer than those that came once

The host now grants who came again four times its usual span (gateway.rs, patience), and those who came once make room first.

--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -76,6 +76,8 @@
     pub stall: f64,
     /// How long a message may take from its first byte to its last, and a connection to its first message.
     pub message_wait: f64,
+    /// Times its usual span between messages that a connection which came again may lie unused.
+    pub usual_spans: f64,
     /// How long a connection that is only asked for health may lie unused.
     pub checks_idle: f64,
     /// How long a gateway may take to close what it was asked to leave.
@@ -127,6 +129,7 @@
             connect: Duration::from_millis(1000),
             stall: 0.3,
             message_wait: 2.0,
+            usual_spans: 4.0,
             checks_idle: 30.0,
             goodbye: 2.0,
         }
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -34,17 +34,19 @@
     /// When it was asked to be left, and when it was last in use.
     leaving: Option<f64>,
     used: f64,
+    /// When it was accepted, and how many messages it has brought.
+    since: f64,
+    messages: u32,
     /// Since when a message is unfinished; the first one is from the start.
     unfinished: Option<f64>,
-    spoke: bool,
     checks: bool,
 }
 
 impl Counter {
-    /// What a read brought: the end of a message, or all of it.
-    fn progress(&mut self, whole: bool, empty: bool, now: f64) {
-        self.spoke |= whole;
-        if whole || empty {
+    /// What a read brought: some whole messages, and nothing else or a part of the next.
+    fn progress(&mut self, whole: u32, empty: bool, now: f64) {
+        self.messages = self.messages.saturating_add(whole);
+        if whole > 0 || empty {
             self.unfinished = None;
         }
         if !empty {
@@ -52,6 +54,17 @@
         }
     }
 
+    /// How long it may lie unused, where those do `keep` that came once: one that came again and again is likely
+    /// to come after a few times its usual span.
+    fn patience(&self, keep: f64, house: &House) -> f64 {
+        let usual = match self.messages {
+            0 | 1 => 0.0,
+            more => house.limits.usual_spans * (self.used - self.since) / f64::from(more),
+        };
+        let least = if self.checks { house.limits.checks_idle } else { 0.0 };
+        keep.max(usual.min(house.warrant.terms.charter.idle)).max(least)
+    }
+
     /// Whether it may be closed without harm: nothing on it is owed an answer or has yet to be read.
     fn idle(&self) -> bool {
         !self.closed && self.open.is_empty() && self.out.is_empty()
@@ -90,8 +103,9 @@
             closed: false,
             leaving: None,
             used: house.clock.now(),
+            since: house.clock.now(),
+            messages: 0,
             unfinished: Some(house.clock.now()),
-            spoke: false,
             checks: false,
         };
         Outlet { counter: Mutex::new(counter), waker: stream.waker() }
@@ -163,9 +177,8 @@
             if !counter.idle() {
                 continue;
             }
-            let keep = if counter.checks { keep.max(house.limits.checks_idle) } else { keep };
             match counter.leaving {
-                None if now - counter.used > keep => {
+                None if now - counter.used > counter.patience(keep, house) => {
                     counter.leaving = Some(now);
                     outlet.write(house, &mut counter, &[b"0", b"goaway"]);
                 }
@@ -180,13 +193,14 @@
         }
     }
 
-    /// Closes the connection that can best be done without: one that has said nothing yet, else the one that
-    /// lay unused for longest. A gateway that sends there at this moment sends once more. Whether there is any.
+    /// Closes the connection that can best be done without: one that has said nothing yet, else one that came
+    /// once, else any, and of its kind the one that lay unused for longest. A gateway that sends there at this
+    /// moment sends once more. Whether there is any.
     fn make_room(&self) -> bool {
         let outlets = self.lock();
         let idle = outlets.values().filter_map(|outlet| {
             let counter = outlet.lock();
-            counter.idle().then(|| (counter.spoke, counter.used, outlet))
+            counter.idle().then(|| (counter.messages.min(2), counter.used, outlet))
         });
         let Some((.., outlet)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) else {
             return false;
@@ -276,12 +290,12 @@
                 Ok(Filled::NotYet) => break (false, false),
                 Ok(Filled::Ended) | Err(_) => break (true, false),
             }
-            let mut whole = false;
+            let mut whole = 0;
             while let Some(array) = resp::array(input.whole(), house.limits.body)? {
                 let size = array.size;
                 take(house, outlet, &array)?;
                 input.consume(size);
-                whole = true;
+                whole += 1;
             }
             outlet.lock().progress(whole, input.is_empty(), house.clock.now());
             if input.len() > house.limits.message {
@@ -383,6 +397,25 @@
         assert!(other.lock().closed);
     }
 
+    #[test]
+    fn who_came_again_and_again_may_lie_unused_for_longer_than_who_came_once() {
+        let example = puffinladder_toy::town::EXAMPLE.as_bytes();
+        let house = House::new(puffinladder_charter::read_warrant(example, None, None).unwrap());
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let outlet = Outlet::new(&house, &stream);
+        let patience = |messages, span| {
+            let mut counter = outlet.lock();
+            (counter.messages, counter.used) = (messages, counter.since + span);
+            counter.patience(0.1, &house)
+        };
+        assert_eq!(patience(1, 10.0), 0.1);
+        assert!((patience(5, 10.0) - 8.0).abs() < 1e-6);
+        assert_eq!(patience(5, 1000.0), 30.0, "and never for longer than the settings say");
+        outlet.lock().checks = true;
+        assert_eq!(patience(1, 0.0), house.limits.checks_idle);
+    }
+
     #[test]
     fn tags_come_in_any_order_but_each_only_once() {
         let mut tags = Tags::default();
