--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,13 +49,14 @@
 const SOUND: f64 = 2.5; // rise of run time up to which a crowded machine counts as sound
 const OFF: f64 = 8.0; // s off the list for a slow machine: the list is seconds late, less isn't seen
 const RATE_SPAN: f64 = 3.0; // s over which rates are taken, and after which what no run confirms fades
-const QUOTA_SPAN: f64 = 1.0; // s of a quota that a bucket holds beside what chance puts on it: bursts are over
+const QUOTA_SPAN: f64 = 1.0; // s of a quota that a bucket holds, and chance: bursts are over
 const WALKING: f64 = 0.1; // share of repeats among arrivals from which the others count as full too
 const TIGHT: f64 = 0.6; // share of its threshold waited from which the signal tightens; under half it loosens
 const PRESS: f64 = 0.03; // pressure gained a step, full in three seconds: callers hear late; half is lost
 const BIAS_CUT: f64 = 0.9; // share of its callers that a full server may have pass it over: some must test it
 const RETRY_AFTER: f64 = 1.0; // s of Retry-After at the most, as in the design; SLA times bound it too
 const RETRY_SOUND: f64 = 0.25; // mean share drawn by a sound server: callers neither go nor return together
+const KEEP_TXNS: f64 = 4.0; // txns of its caller that a decline may keep away: a few, since it is one of many
 const TOKEN_WAIT: f64 = 0.5; // share of the shortest wait for whose work tokens are given: the rest is unread
 const IDLE_ROOM: f64 = 3.0; // times the room of a full server that idle ones offer: a burst must fit
 const SOCKETS: f64 = 1.0; // open connections for each txn of the crowd survived: no more are ever at work
@@ -75,7 +76,7 @@
     base: f64,
     away: f64,
     runs: f64,
-    hint: f64,
+    hint: f64, // a mean of what ran, not of what came: callers may write there what they like
     seen: f64, // when one of its runs was last open
 }
 
@@ -315,7 +316,6 @@
             let (hint, span) = (txn.size - 1.0, now - txn.begun);
             let on_cores = span / self.weight(txn);
             let tp = &mut self.products[txn.news.product];
-            // Learned from what ran, not from what came: callers may write there what they like.
             tp.hint = if txn.news.hint > 0.0 { learn(tp.hint, txn.news.hint, NEW) } else { tp.hint };
             let told = (span / tp.takes).min(3.0 * txn.size) - 1.0;
             self.hints_told += NEW * (hint * told - self.hints_told);
@@ -620,6 +620,8 @@
         let last = reason != "leaving" && (txn.news.repeat || self.repeats > WALKING);
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
+        // Where callers are few each brings much: kept off for long they would leave the cores idle in turns.
+        let keep_off = keep_off.min(KEEP_TXNS * self.callers / self.finished.max(STEP));
         out.decline(txn.news.id, keep_off, last);
         *self.sheds.entry((txn.news.product, reason)).or_default() += 1;
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -368,6 +368,24 @@
     assert_eq!(host.done(1), ["run 10"]);
 }
 
+#[test]
+fn a_decline_keeps_few_callers_off_for_no_more_than_a_few_of_their_txns() {
+    // Two callers bring some forty txns a second: off for a second each, they would leave the server idle.
+    let mut host = Host::new(&charter());
+    for id in 1..100 {
+        host.arrive(&[txn(id, 0)]);
+        host.pass(0.02);
+        host.done(id);
+    }
+    host.gauges.busy = Some(1.0);
+    host.arrive(&(100..120).map(|id| txn(id, 0)).collect::<Vec<_>>());
+    // A machine that hangs asks for the longest time.
+    let said = host.pass(3.0);
+    let spans = said.iter().filter(|line| line.starts_with("decline"));
+    let spans: Vec<f64> = spans.map(|line| line.split(' ').nth(2).unwrap().parse().unwrap()).collect();
+    assert!(spans.iter().all(|span| (0.1..0.7).contains(span)) && spans.len() > 9, "{spans:?}");
+}
+
 #[test]
 fn tokens_follow_what_is_finished_and_shrink_once_txns_wait() {
     let mut host = Host::new(&Charter { signal: Signal::Tokens, ..charter() });
