Read over: the module keeps no copies of its charter, the desk enters news in one way

Found by reading the whole change: with the charter kept in the brain (brain.rs, told) four fields were plain copies of it; Desk::ended wrote tell's lines again, since tell reached the news only and not the hands; offer dropped a hand in three arms alike; a new connection read the clock three times for one moment.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -89,9 +89,10 @@
         }
     }
 
-    fn tell(&self, news: impl FnOnce(&mut News)) {
+    /// Enters news for the next round.
+    fn tell(&self, news: impl FnOnce(&mut Plan)) {
         let mut plan = self.plan();
-        news(&mut plan.news);
+        news(&mut plan);
         plan.any = true;
         drop(plan);
         self.ring();
@@ -103,22 +104,22 @@
         let mut plan = self.plan();
         let Some(id) = plan.hands.take(read.name, read.key, slip.clone()) else { return Offer::Named };
         let holder = read.key.map_or(Holder::Nobody, |key| plan.keys.read(key, read.print, id, arrived));
-        let forerunner = match (holder, read.key) {
-            (Holder::Same(forerunner), _) => forerunner,
-            (Holder::Doubtful, Some(key)) => {
-                plan.hands.drop(id);
-                plan.keys.contend(&key, read.print, slip, until);
-                return Offer::Doubtful;
-            }
-            (Holder::Other, _) => {
-                plan.hands.drop(id);
-                return Offer::Other;
-            }
-            (Holder::Full, _) => {
+        let forerunner = match holder {
+            Holder::Nobody => Ok(0),
+            Holder::Same(forerunner) => Ok(forerunner),
+            Holder::Doubtful => Err(Offer::Doubtful),
+            Holder::Other => Err(Offer::Other),
+            Holder::Full => Err(Offer::Full),
+        };
+        let forerunner = match forerunner {
+            Ok(forerunner) => forerunner,
+            Err(offer) => {
                 plan.hands.drop(id);
-                return Offer::Full;
+                if let (Offer::Doubtful, Some(key)) = (&offer, &read.key) {
+                    plan.keys.contend(key, read.print, slip, until);
+                }
+                return offer;
             }
-            _ => 0,
         };
         plan.news.arrived.push(Txn { id, forerunner, ..read.news });
         plan.stamps.push(read.stamp);
@@ -128,27 +129,25 @@
         Offer::Taken(id)
     }
     pub fn at_call(&self, id: u32) {
-        self.tell(|news| news.at_call.push(id));
+        self.tell(|plan| plan.news.at_call.push(id));
     }
     pub fn returned(&self, id: u32, outcome: Outcome, took: f64) {
-        self.tell(|news| news.returned.push(End { id, outcome, took }));
+        self.tell(|plan| plan.news.returned.push(End { id, outcome, took }));
     }
     pub fn ended(&self, id: u32, outcome: Outcome, took: f64) {
-        let mut plan = self.plan();
-        // Its name is free from now on, whenever the module gets to hear of it.
-        plan.hands.drop(id);
-        plan.news.ended.push(End { id, outcome, took });
-        plan.any = true;
-        drop(plan);
-        self.ring();
+        self.tell(|plan| {
+            // Its name is free from now on, whenever the module gets to hear of it.
+            plan.hands.drop(id);
+            plan.news.ended.push(End { id, outcome, took });
+        });
     }
     pub fn gone(&self, id: u32) {
-        self.tell(|news| news.gone.push(id));
+        self.tell(|plan| plan.news.gone.push(id));
     }
     /// The notice to leave: the kill comes at that time.
     pub fn leave(&self, kill: f64) {
         self.kill.get_or_init(|| kill);
-        self.tell(|news| news.leave = Some(kill));
+        self.tell(|plan| plan.news.leave = Some(kill));
     }
     /// When the kill comes, after a notice to leave.
     pub fn kill(&self) -> Option<f64> {
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -96,16 +96,17 @@
 
 impl Outlet {
     pub fn new(house: &House, stream: &TcpStream) -> Outlet {
+        let now = house.clock.now();
         let counter = Counter {
             out: Ring::new(house.limits.buffer, house.limits.unsent),
             open: HashMap::new(),
             tags: Tags::default(),
             closed: false,
             leaving: None,
-            used: house.clock.now(),
-            since: house.clock.now(),
+            used: now,
+            since: now,
             messages: 0,
-            unfinished: Some(house.clock.now()),
+            unfinished: Some(now),
             checks: false,
         };
         Outlet { counter: Mutex::new(counter), waker: stream.waker() }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -132,11 +132,8 @@
     told: Charter,
     products: Vec<Terms>,
     accounts: Vec<Account>,
-    cores: f64,
     callers: f64,
-    ram: f64,
     run_factor: f64,
-    key_ram: f64,
     crowd: f64,
     cold_share: f64,
     cold_span: f64,
@@ -144,7 +141,6 @@
     calls_top: f64,
     calls_least: f64,
     halts: bool,
-    signal: Signal,
     level_top: f64,
     retry_after: f64,
     sockets: f64,
@@ -207,11 +203,8 @@
             told: charter.clone(),
             products: charter.products.iter().map(terms).collect(),
             accounts: charter.customers.iter().map(account).collect(),
-            cores: charter.cores,
             callers: charter.callers.max(1.0),
-            ram: charter.ram,
             run_factor: charter.run_factor.max(1.0),
-            key_ram: charter.key_memory,
             crowd: (charter.fall_multiple - 1.0).max(0.0),
             cold_share: if charter.cold { charter.cold_share.min(1.0) } else { 1.0 },
             cold_span: charter.cold_span.max(1e-3),
@@ -219,7 +212,6 @@
             calls_top,
             calls_least: if common { least } else { CALLS_LEAST * calls_top },
             halts: charter.halt != Halt::Never,
-            signal: charter.signal,
             level_top: 1.0 - 1.0 / bands.len() as f64,
             retry_after: charter.products.iter().map(|p| p.sla).fold(longest, f64::min),
             sockets: SOCKETS * charter.cores * charter.fall_multiple,
@@ -290,13 +282,14 @@
         if self.leave.is_some_and(|(last, _)| arrived > last - MARGIN) {
             return self.decline(at, "leaving", out);
         }
-        let keys = (self.keys.len() + 1) as f64 * self.key_ram;
-        let room = self.used + self.key_ram <= RAM_HOLD * self.ram && keys <= RAM_KEYS * self.ram;
+        let keys = (self.keys.len() + 1) as f64 * self.told.key_memory;
+        let room =
+            self.used + self.told.key_memory <= RAM_HOLD * self.told.ram && keys <= RAM_KEYS * self.told.ram;
         if referenced && room {
             let span = (self.products[product].told.window - news.unread).max(MARGIN) + MARGIN;
             out.remember(news.id, span);
             self.txns[at].kept = Some(now + span);
-            self.used += self.key_ram;
+            self.used += self.told.key_memory;
         } else if referenced {
             // Without the memory of its key a repeat could run: it must not run here at all.
             self.decline(at, "no key room", out);
@@ -474,7 +467,7 @@
                 continue;
             }
             let more = txn.news.memory * (self.run_factor - 1.0);
-            if self.used + more > RAM_RUN * self.ram && self.running + self.calling > 0 {
+            if self.used + more > RAM_RUN * self.told.ram && self.running + self.calling > 0 {
                 return;
             }
             self.hold.swap_remove(place);
@@ -495,7 +488,7 @@
     fn crowd_now(&self, now: f64) -> f64 {
         let age = (now - self.started.unwrap_or(now)) / self.cold_span;
         let warmth = (self.cold_share + (1.0 - self.cold_share) * age).min(1.0);
-        self.cores * (1.0 + self.crowd * warmth)
+        self.told.cores * (1.0 + self.crowd * warmth)
     }
 
     fn beat(&mut self, now: f64, gauges: &Gauges, out: &mut impl Writer) {
@@ -542,12 +535,13 @@
         let busy = gauges.busy.unwrap_or(self.running as f64 / self.limit);
         // A slot freed just now is no reason: it is given away in this round.
         let taken = self.running >= self.limit as usize && !self.hold.is_empty();
-        if taken && gauges.runnable.is_none_or(|r| r < self.cores) {
+        if taken && gauges.runnable.is_none_or(|r| r < self.told.cores) {
             self.limit += GROW;
         } else if busy >= FULL && self.stretch > RISE {
             self.limit *= 1.0 - SHRINK;
         }
-        self.limit = self.limit.clamp(self.cores, CEILING * self.cores * (1.0 + self.crowd)).max(1.0);
+        self.limit =
+            self.limit.clamp(self.told.cores, CEILING * self.told.cores * (1.0 + self.crowd)).max(1.0);
     }
 
     fn step_signal(&mut self, now: f64, busy: f64, out: &mut impl Writer) {
@@ -559,7 +553,7 @@
             self.pressure = (self.pressure - PRESS * if idle { 2.0 } else { 0.5 }).max(0.0);
         }
         let bias = 1.0 - BIAS_CUT * self.pressure;
-        let amount = match self.signal {
+        let amount = match self.told.signal {
             Signal::Silent => return,
             Signal::Level => self.level_top * self.pressure,
             Signal::Bias => bias,
@@ -606,7 +600,7 @@
 
     /// Keeps held memory under the machine's, lowest worth first.
     fn cut_hold(&mut self, out: &mut impl Writer) {
-        while self.used > RAM_HOLD * self.ram {
+        while self.used > RAM_HOLD * self.told.ram {
             let ranks = self.hold.iter().map(|&at| (at, self.rank(at)));
             let Some((at, _)) = ranks.min_by(|a, b| order(a.1, b.1)) else { return };
             self.decline(at, "memory", out);
@@ -647,7 +641,7 @@
     }
 
     fn held_ram(&self, txn: &Hand) -> f64 {
-        txn.news.memory + if txn.kept.is_some() { self.key_ram } else { 0.0 }
+        txn.news.memory + if txn.kept.is_some() { self.told.key_memory } else { 0.0 }
     }
 
     /// Counts what runs, what stands at calls and the memory in use.
@@ -661,7 +655,7 @@
         }
         (self.running, self.calling) = (0, 0);
         let (mut age, mut usual, mut old) = (0.0, 0.0, 0);
-        self.used = self.keys.len() as f64 * self.key_ram;
+        self.used = self.keys.len() as f64 * self.told.key_memory;
         for (_, txn) in &self.txns {
             self.used += match txn.stage {
                 Stage::Held => self.held_ram(txn),
@@ -682,7 +676,7 @@
         }
         // Open runs are on average as old as a run takes. Where most are far older the machine has slowed or
         // hangs, which finished runs tell only later; a few long ones that pin their slots don't count.
-        let hangs = 2 * old > self.running && self.running as f64 >= self.cores;
+        let hangs = 2 * old > self.running && self.running as f64 >= self.told.cores;
         self.drag = if hangs { age / usual } else { 1.0 };
     }
 
