--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -5,6 +5,9 @@
 //! is named by its key.
 #![forbid(unsafe_code)]
 
+pub mod settings;
+pub mod sexpr;
+
 use puffinladder::{Below, Charter, Customer, Effect, Gauges, Halt, Product, Signal};
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,6 +1,6 @@
 //! Frames and records of the wire: batches in, replies out.
 
-use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
+use puffinladder::{Brain, End, Gauges, News, Outcome, Reason, Txn, Writer};
 use puffinladder_charter::Meter;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read};
@@ -312,12 +312,12 @@
     fn run(&mut self, id: u32) {
         self.put_id(10, id);
     }
-    fn decline(&mut self, id: u32, retry_after: f64, last: bool) {
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool, _reason: Reason) {
         let bytes = self.put_id(20, id);
         bytes.extend(ms(retry_after));
         bytes.push(last.into());
     }
-    fn void(&mut self, id: u32) {
+    fn void(&mut self, id: u32, _reason: Reason) {
         self.put_id(30, id);
     }
     fn pause(&mut self, id: u32) {
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -3,11 +3,13 @@
 use crate::clock;
 use crate::life::House;
 use crate::lock::lock;
+use crate::memory::book::Book;
 use crate::memory::hands::{Hands, Name, Slip, Word};
 use crate::memory::keys::{Holder, Key, Keys, Print};
 use crate::txn::Read;
 use may::coroutine::{self, Coroutine};
-use puffinladder::{Brain, End, Gauges, News, Outcome, Txn, Writer};
+use puffinladder::{Brain, End, Gauges, News, Outcome, Reason, Txn, Writer};
+use puffinladder_trace::row::Topic;
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -20,6 +22,7 @@
     signal: Mutex<Vec<u8>>,
     /// The time of the kill, after a notice to leave.
     kill: OnceLock<f64>,
+    record: Book,
 }
 
 /// What becomes of a txn that is put before the module.
@@ -54,7 +57,7 @@
 }
 
 impl Desk {
-    pub fn new(brain: Brain, keys: Keys, idle: f64) -> Desk {
+    pub fn new(brain: Brain, keys: Keys, idle: f64, record: Book) -> Desk {
         let plan = Plan {
             brain,
             hands: Hands::default(),
@@ -75,6 +78,7 @@
             good: AtomicBool::new(true),
             signal: Mutex::default(),
             kill: OnceLock::new(),
+            record,
         }
     }
 
@@ -145,8 +149,9 @@
         self.tell(|plan| plan.news.gone.push(id));
     }
     /// The notice to leave: the kill comes at that time.
-    pub fn leave(&self, kill: f64) {
+    pub fn leave(&self, kill: f64, now: f64) {
         self.kill.get_or_init(|| kill);
+        self.record.note(now, Topic::LEAVE, kill - now);
         self.tell(|plan| plan.news.leave = Some(kill));
     }
     /// When the kill comes, after a notice to leave.
@@ -176,8 +181,14 @@
     pub fn resume(&self) {
         self.plan().hands.slips().for_each(|slip| slip.say(Word::Resume));
     }
+    /// The process ends: what is still in hand closes its books.
+    pub fn close(&self) {
+        self.plan().hands.slips().for_each(|slip| slip.say(Word::Close));
+    }
+
     /// The gauges that were asked for under a tag.
     pub fn gauges(&self, tag: u64, gauges: Gauges) {
+        self.record.gauges(&gauges);
         let mut plan = self.plan();
         if plan.asked == Some(tag) {
             plan.gauges = Some(gauges);
@@ -294,11 +305,11 @@
             hand.slip.say(Word::Run);
         }
     }
-    fn decline(&mut self, id: u32, retry_after: f64, last: bool) {
-        over(self.hands, self.keys, id, Word::Decline { retry_after, last });
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool, reason: Reason) {
+        over(self.hands, self.keys, id, Word::Decline { retry_after, last, reason });
     }
-    fn void(&mut self, id: u32) {
-        self.say(id, Word::Void);
+    fn void(&mut self, id: u32, reason: Reason) {
+        self.say(id, Word::Void(reason));
         // What was held or waited for a result is over with its answer.
         if self.hands.get_mut(id).is_some_and(|hand| !hand.running) {
             over(self.hands, self.keys, id, Word::Over);
@@ -328,11 +339,13 @@
     }
     fn health(&mut self, good: bool, _stored: bool) {
         self.desk.good.store(good, Ordering::Relaxed);
+        self.desk.record.change(self.now, Topic::HEALTH, f64::from(u8::from(good)));
     }
     fn signal(&mut self, amount: f64) {
         let mut signal = lock(&self.desk.signal);
         signal.clear();
         let _ = write!(signal, "v={amount:.4}");
+        self.desk.record.change(self.now, Topic::SIGNAL, amount);
     }
     fn keepalive(&mut self, span: f64) {
         *self.keep = span;
@@ -340,7 +353,11 @@
     fn wake(&mut self, after: f64) {
         *self.wake_at = self.now + after;
     }
+    fn limits(&mut self, runs: f64, calls: f64) {
+        self.desk.record.change(self.now, Topic::LIMIT, runs);
+        self.desk.record.change(self.now, Topic::CALLS, calls);
+    }
     fn note(&mut self, text: &str) {
-        log::info!("module: {text}");
+        tracing::info!("module: {text}");
     }
 }
--- a/crates/server/src/life/journal.rs
+++ b/crates/server/src/life/journal.rs
@@ -1,11 +1,13 @@
 //! The log goes out through a thread of its own: whoever stops reading it must not stop the server.
 
 use crate::limits::Limits;
+use puffinladder_charter::settings::{Log, LogFormat};
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
 use std::thread;
 use std::time::{Duration, Instant};
+use tracing_subscriber::EnvFilter;
 
 /// Lines handed in, written, and left out because the queue was full.
 static TAKEN: AtomicU64 = AtomicU64::new(0);
@@ -13,6 +15,7 @@
 static LOST: AtomicU64 = AtomicU64::new(0);
 
 /// Where the logger writes, one line at a time.
+#[derive(Clone)]
 struct Queue(SyncSender<Vec<u8>>);
 
 impl Write for Queue {
@@ -30,8 +33,11 @@
     }
 }
 
-/// Starts logging to standard error, at the levels that `RUST_LOG` names.
-pub fn start(limits: &Limits) -> Result<(), String> {
+/// The levels where nobody says otherwise.
+const LEVELS: &str = "info,may=warn";
+
+/// Starts logging to standard error. `RUST_LOG` wins over the settings' filter.
+pub fn start(limits: &Limits, log: &Log) -> Result<(), String> {
     let (queue, lines) = sync_channel::<Vec<u8>>(limits.log_lines);
     let writer = thread::Builder::new().name("log".into()).stack_size(limits.stack_thread);
     let write = move || {
@@ -45,10 +51,15 @@
         }
     };
     writer.spawn(write).map_err(|e| format!("no thread: {e}"))?;
-    let levels = env_logger::Env::default().default_filter_or("info,may=warn");
-    let mut logger = env_logger::Builder::from_env(levels);
-    logger.target(env_logger::Target::Pipe(Box::new(Queue(queue)))).init();
-    Ok(())
+    let levels = std::env::var("RUST_LOG").ok().or_else(|| log.filter.clone());
+    let levels = EnvFilter::builder().parse_lossy(levels.as_deref().unwrap_or(LEVELS));
+    let logger = tracing_subscriber::fmt().with_env_filter(levels).with_ansi(false);
+    let logger = logger.with_writer(move || Queue(queue.clone()));
+    match log.format {
+        LogFormat::Text => logger.try_init(),
+        LogFormat::Json => logger.json().flatten_event(true).try_init(),
+    }
+    .map_err(|e| format!("no log: {e}"))
 }
 
 /// Waits for the last lines before the process ends, though not for long.
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -4,11 +4,13 @@
 pub mod chores;
 pub mod journal;
 pub mod papers;
+pub mod recording;
 pub mod tally;
 
 use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::limits::Limits;
+use crate::memory::book::Book;
 use crate::memory::keys::Keys;
 use crate::txn::Living;
 use crate::wire::agent::{self, Agent};
@@ -19,9 +21,10 @@
 use chores::Chores;
 use may::coroutine::Builder;
 use may::net::TcpListener;
-use papers::{Directory, Papers};
+use papers::{Directory, Options, Papers};
 use puffinladder::{Brain, Charter};
 use puffinladder_charter::Warrant;
+use puffinladder_trace::row::Topic;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::hash::RandomState;
@@ -46,6 +49,7 @@
     pub chores: Chores,
     pub alarm: Alarm,
     pub tally: Tally,
+    pub book: Book,
 }
 
 /// What the process cannot live without: if its coroutine ever ends, the process does, and is started anew.
@@ -53,14 +57,14 @@
 
 impl Drop for Vital {
     fn drop(&mut self) {
-        log::error!("{} has ended", self.0);
+        tracing::error!("{} has ended", self.0);
         journal::end();
         std::process::exit(70);
     }
 }
 
 impl House {
-    pub fn new(warrant: Warrant) -> Arc<House> {
+    pub fn new(warrant: Warrant, book: Book) -> Arc<House> {
         let limits = Limits::new(&warrant);
         let keys = Keys::new(limits.keys, limits.results, limits.key_grain, limits.key_over);
         // Keys lie in this process, within `limits.keys`: the machine's memory, which the module guards, books
@@ -69,7 +73,7 @@
         Arc::new(House {
             directory: Directory::new(warrant.peers),
             clock: Clock::default(),
-            desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle),
+            desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle, book.clone()),
             agent: Agent::new(limits.buffer, limits.unsent_agent),
             store: Store::default(),
             gateways: Gateways::default(),
@@ -78,6 +82,7 @@
             chores: Chores::default(),
             alarm: Alarm::default(),
             tally: Tally::default(),
+            book,
             limits,
             warrant,
         })
@@ -85,13 +90,17 @@
 }
 
 /// Serves until the time of the kill.
-pub fn run() -> Result<(), String> {
+pub fn run(told: &Options) -> Result<(), String> {
     // Heeded from the first: a signal that comes early waits until there is something to heed it.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))?;
-    let papers = Papers::told()?;
-    let house = House::new(papers.read()?);
+    let papers = Papers::told(told)?;
+    let settings = papers::settings(told)?;
+    let warrant = papers.read()?;
+    let limits = Limits::new(&warrant);
+    journal::start(&limits, &settings.log)?;
+    let (book, recording) = recording::begin(settings.trace.as_ref(), &warrant, &limits)?;
+    let house = House::new(warrant, book);
     let (limits, listen) = (&house.limits, house.warrant.listen);
-    journal::start(limits)?;
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
     may.set_worker_pin(false);
@@ -100,7 +109,7 @@
     let at = |e| format!("listen {listen}: {e}");
     let listener = TcpListener::bind(listen).map_err(at)?;
     let listens = listener.inner().local_addr().map_err(at)?;
-    log::info!("{} listens on {listens}", house.warrant.name);
+    tracing::info!("{} listens on {listens}", house.warrant.name);
     deep(&house, "desk", |house| house.desk.run(house))?;
     deep(&house, "agent", agent::run)?;
     deep(&house, "roster", roster::run)?;
@@ -109,11 +118,22 @@
     let notice = move || heed(&told, &papers, signals);
     let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_thread);
     watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
+    let mut closed = false;
     loop {
         house.alarm.wait(house.limits.chores);
         house.desk.ring();
-        if house.desk.kill().is_some_and(|kill| house.clock.now() > kill) {
-            log::info!("{} ends", house.warrant.name);
+        let Some(kill) = house.desk.kill() else { continue };
+        let now = house.clock.now();
+        // All answers are out by now. Whoever keeps books closes them, so that none are open at the kill.
+        if recording.is_some() && !closed && now > kill - limits.closing {
+            closed = true;
+            house.desk.close();
+        }
+        if now > kill - limits.closing / 2.0 && closed || now > kill {
+            if let Some(recording) = recording {
+                recording.end(limits.seal);
+            }
+            tracing::info!("{} ends", house.warrant.name);
             journal::end();
             return Ok(());
         }
@@ -142,8 +162,9 @@
         if signal == SIGHUP {
             reload(house, papers);
         } else if house.desk.kill().is_none() {
-            log::info!("{} was told to leave", house.warrant.name);
-            house.desk.leave(house.clock.now() + house.warrant.stop);
+            tracing::info!("{} was told to leave", house.warrant.name);
+            let now = house.clock.now();
+            house.desk.leave(now + house.warrant.stop, now);
         }
     }
 }
@@ -152,17 +173,18 @@
 fn reload(house: &House, papers: &Papers) {
     let warrant = match papers.read() {
         Ok(warrant) => warrant,
-        Err(what) => return log::error!("reload: nothing changed: {what}"),
+        Err(what) => return tracing::error!("reload: nothing changed: {what}"),
     };
     let fixed = house.warrant.fixed(&warrant);
     if !fixed.is_empty() {
-        log::warn!("reload: {} hold until the next start", fixed.join(", "));
+        tracing::warn!("reload: {} hold until the next start", fixed.join(", "));
     }
     let peers = warrant.peers;
     let new = house.directory.swap(peers);
     let store = peers.store.map_or("nowhere".into(), |store| store.to_string());
     let found = if new { "now" } else { "still" };
-    log::info!("reload: agent {found} at {}, roster {}, store {store}", peers.agent, peers.roster);
+    tracing::info!("reload: agent {found} at {}, roster {}, store {store}", peers.agent, peers.roster);
+    house.book.note(house.clock.now(), Topic::RELOAD, f64::from(u8::from(new)));
     house.agent.look();
     house.chores.ring();
 }
--- a/crates/server/src/life/papers.rs
+++ b/crates/server/src/life/papers.rs
@@ -2,6 +2,7 @@
 //! these in one place, which all links read.
 
 use crate::lock::lock;
+use puffinladder_charter::settings::{read_settings, LogFormat, Settings};
 use puffinladder_charter::{read_warrant, Peers, Warrant};
 use std::sync::Mutex;
 
@@ -12,10 +13,41 @@
     listen: Option<String>,
 }
 
+/// What the command line says; the environment stands in for what it leaves open.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// The platform's JSON, else `BALANCER_CONFIG`.
+    pub config: Option<String>,
+    /// Our own settings, else `PUFFINLADDER_SETTINGS`; without either they are as they are by default.
+    pub settings: Option<String>,
+    /// Win over the settings.
+    pub log_format: Option<LogFormat>,
+    pub log_filter: Option<String>,
+}
+
+/// Our own settings.
+pub fn settings(options: &Options) -> Result<Settings, String> {
+    let path = options.settings.clone().or_else(|| std::env::var("PUFFINLADDER_SETTINGS").ok());
+    let mut settings = match path {
+        None => Settings::default(),
+        Some(path) => {
+            let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+            read_settings(&path, &text).map_err(|faults| {
+                let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                lines.join("\n")
+            })?
+        }
+    };
+    settings.log.format = options.log_format.unwrap_or(settings.log.format);
+    settings.log.filter = options.log_filter.clone().or(settings.log.filter);
+    Ok(settings)
+}
+
 impl Papers {
-    pub fn told() -> Result<Papers, String> {
+    pub fn told(options: &Options) -> Result<Papers, String> {
         let told = |name: &str| std::env::var(name).ok();
-        let path = told("BALANCER_CONFIG").ok_or("BALANCER_CONFIG should name the configuration file")?;
+        let path = options.config.clone().or_else(|| told("BALANCER_CONFIG"));
+        let path = path.ok_or("BALANCER_CONFIG should name the configuration file")?;
         Ok(Papers { path, name: told("BALANCER_NAME"), listen: told("BALANCER_LISTEN") })
     }
 
--- a/crates/server/src/life/tally.rs
+++ b/crates/server/src/life/tally.rs
@@ -34,13 +34,13 @@
         if now - complaints.0 > house.limits.summary {
             let left_out = complaints.1.saturating_sub(house.limits.complaints);
             if left_out > 0 {
-                log::warn!("log: {left_out} lines about what others did wrong were left out");
+                tracing::warn!("log: {left_out} lines about what others did wrong were left out");
             }
             *complaints = (now, 0);
         }
         complaints.1 += 1;
         if complaints.1 <= house.limits.complaints {
-            log::warn!("{what}");
+            tracing::warn!("{what}");
         }
     }
 
@@ -55,7 +55,7 @@
         }
         *told = (now, all);
         let (living, gateways, calls) = (house.living.count(), house.gateways.count(), house.store.count());
-        log::info!(
+        tracing::info!(
             "so far settled {settled}, declined {declined}, voided {voided}; \
              in hand {living}, connections {gateways} of gateways and {calls} to the store"
         );
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -52,6 +52,8 @@
     pub stack_deep: usize,
     /// Stack of the threads for signals and for the log, in bytes.
     pub stack_thread: usize,
+    /// The same for the one that packs a trace.
+    pub stack_recorder: usize,
     /// Lines of the log that wait for a slow reader; more are left out.
     pub log_lines: usize,
     /// Coroutines kept for the next txn.
@@ -82,6 +84,9 @@
     pub checks_idle: f64,
     /// How long a gateway may take to close what it was asked to leave.
     pub goodbye: f64,
+    /// How long before the kill, when all answers are out, books are closed; how long a trace may take to seal.
+    pub closing: f64,
+    pub seal: Duration,
 }
 
 impl Limits {
@@ -116,6 +121,7 @@
             stack: 4096,
             stack_deep: 32768,
             stack_thread: 131_072,
+            stack_recorder: 1 << 20,
             log_lines: 1024,
             spare_stacks: 64,
             complaints: 20,
@@ -132,6 +138,8 @@
             usual_spans: 4.0,
             checks_idle: 30.0,
             goodbye: 2.0,
+            closing: 0.04,
+            seal: Duration::from_millis(200),
         }
     }
 }
--- a/crates/server/src/memory/hands.rs
+++ b/crates/server/src/memory/hands.rs
@@ -2,7 +2,7 @@
 
 use super::keys::Key;
 use crate::lock::lock;
-use puffinladder::Outcome;
+use puffinladder::{Outcome, Reason};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, OnceLock};
 
@@ -16,8 +16,9 @@
     Decline {
         retry_after: f64,
         last: bool,
+        reason: Reason,
     },
-    Void,
+    Void(Reason),
     Pause,
     Call {
         limit: f64,
@@ -48,6 +49,8 @@
     Gone,
     /// The module no longer knows this txn.
     Over,
+    /// The process ends.
+    Close,
 }
 
 impl Word {
@@ -56,7 +59,7 @@
         match self {
             Word::Run => "run",
             Word::Decline { .. } => "decline",
-            Word::Void => "void",
+            Word::Void(_) => "void",
             Word::Pause => "pause",
             Word::Call { .. } => "call",
             Word::SkipCall => "skip call",
@@ -69,6 +72,7 @@
             Word::Free => "free",
             Word::Gone => "gone",
             Word::Over => "over",
+            Word::Close => "close",
         }
     }
 }
--- a/crates/server/src/memory/mod.rs
+++ b/crates/server/src/memory/mod.rs
@@ -1,4 +1,5 @@
 //! What is kept in memory: the txns in hand, and the keys and results of referenced ones.
 
+pub mod book;
 pub mod hands;
 pub mod keys;
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -3,13 +3,15 @@
 use crate::clock;
 use crate::desk::Offer;
 use crate::life::House;
+use crate::memory::book::Page;
 use crate::memory::hands::{Name, Slip, Word};
 use crate::memory::keys::{Key, Print};
 use crate::wire::gateway::Outlet;
 use crate::wire::resp::{self, Array};
 use crate::wire::store::Call;
-use puffinladder::{Effect, Outcome, Txn};
+use puffinladder::{Effect, Outcome, Reason, Txn};
 use puffinladder_charter::Terms;
+use puffinladder_trace::row::Step;
 use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -81,11 +83,13 @@
     outlet: &'a Outlet,
     tag: u64,
     owed: bool,
+    page: Page<'a>,
 }
 
 impl Answer<'_> {
-    fn give(&mut self, word: &str, fields: &[u8], body: &[u8]) {
+    fn give(&mut self, word: &str, fields: &[u8], body: &[u8], step: Step) {
         if std::mem::take(&mut self.owed) {
+            self.page.step(step);
             let mut all = Vec::with_capacity(48);
             self.house.desk.put_signal(&mut all);
             if !all.is_empty() && !fields.is_empty() {
@@ -97,9 +101,11 @@
         }
     }
     fn settle(&mut self, result: &[u8]) {
-        self.give("200", &[], result);
+        let step = self.page.settled();
+        self.give("200", &[], result, step);
     }
-    fn decline(&mut self, retry_after: f64, last: bool) {
+    fn decline(&mut self, retry_after: f64, last: bool, reason: Reason) {
+        self.page.keep_off(retry_after, last);
         let mut fields = Vec::with_capacity(24);
         if retry_after > 0.0 {
             fields.extend_from_slice(b"w=");
@@ -108,16 +114,16 @@
         if last {
             fields.extend_from_slice(if fields.is_empty() { b"l=1" } else { b",l=1" });
         }
-        self.give("503", &fields, &[]);
+        self.give("503", &fields, &[], Step::declined(reason));
     }
-    fn void(&mut self) {
-        self.give("500", &[], &[]);
+    fn void(&mut self, reason: Reason) {
+        self.give("500", &[], &[], Step::voided(reason));
     }
 }
 
 impl Drop for Answer<'_> {
     fn drop(&mut self) {
-        self.void();
+        self.void(Reason::Lost);
     }
 }
 
@@ -177,7 +183,8 @@
 /// Gives a txn its coroutine. A process with no room for one more says so at once.
 pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, outlet: Arc<Outlet>, tag: u64) {
     let Some(life) = Life::begin(house) else {
-        Answer { house, outlet: &outlet, tag, owed: true }.decline(0.0, false);
+        let page = house.book.page(&read, house.clock.now(), &house.warrant.terms);
+        Answer { house, outlet: &outlet, tag, owed: true, page }.decline(0.0, false, Reason::ProcessFull);
         return;
     };
     may::go!(move || live(&life.0, read, slip, &outlet, tag));
@@ -200,6 +207,7 @@
     notice: u64,
     body: Vec<u8>,
     reply: Vec<u8>,
+    tries: u32,
 }
 
 /// Tells the agent, and gives the stamp under which it went out.
@@ -217,7 +225,8 @@
 }
 
 fn live(house: &Arc<House>, read: Read, mut slip: Arc<Slip>, outlet: &Outlet, tag: u64) {
-    let mut answer = Answer { house, outlet, tag, owed: true };
+    let page = house.book.page(&read, house.clock.now(), &house.warrant.terms);
+    let mut answer = Answer { house, outlet, tag, owed: true, page };
     let key = read.key.as_ref();
     // Offered to the module once; again only if it waited for another that then never ran.
     loop {
@@ -229,21 +238,28 @@
                 house
                     .tally
                     .complain(house, format_args!("txn: tag {tag} voided: its name is in hand already"));
-                return;
+                return answer.void(Reason::NameTaken);
             }
             Offer::Other => {
                 house.tally.complain(house, format_args!("txn: tag {tag} voided: its key is another's"));
-                return;
+                return answer.void(Reason::KeyTaken);
             }
-            Offer::Full => return answer.decline(0.0, false),
+            Offer::Full => return answer.decline(0.0, false, Reason::NoKeyRoom),
             Offer::Doubtful => {
-                log::trace!("txn at tag {tag}: waits for its key");
+                tracing::trace!("txn at tag {tag}: waits for its key");
                 match (slip.wait(), outlet.renew(tag)) {
                     (Word::Free, Some(new)) => {
                         slip = new;
                         continue;
                     }
-                    (Word::Decline { retry_after, last }, _) => return answer.decline(retry_after, last),
+                    (Word::Decline { retry_after, last, reason }, _) => {
+                        return answer.decline(retry_after, last, reason)
+                    }
+                    (Word::Gone, _) => {
+                        answer.page.step(Step::GONE);
+                        answer.owed = false;
+                        return;
+                    }
                     _ => return,
                 }
             }
@@ -254,23 +270,27 @@
         let mut call: Option<Arc<Call>> = None;
         loop {
             let word = slip.wait();
-            log::trace!("txn {id}: {}", word.verb());
+            tracing::trace!("txn {id}: {}", word.verb());
             match word {
                 // Held until the module has judged its wait: it is given to the cores, or turned away undone.
                 Word::Run => {
                     told = if std::mem::take(&mut paused) { Told::Thaw } else { Told::Launch };
+                    answer.page.step(if matches!(told, Told::Thaw) { Step::RESUMED } else { Step::RUN });
                     stamp = tell(house, told, &read, &asked);
                 }
-                Word::Decline { retry_after, last } => {
-                    answer.decline(retry_after, last);
+                Word::Decline { retry_after, last, reason } => {
+                    answer.decline(retry_after, last, reason);
                     place.left = true;
                     return;
                 }
                 // A repeat of what is in hand or has run gets that one's result.
-                Word::Replay => match key {
-                    Some(key) => house.desk.replay(key, read.print, &slip),
-                    None => slip.say(Word::Result(None)),
-                },
+                Word::Replay => {
+                    answer.page.step(Step::REPLAYED);
+                    match key {
+                        Some(key) => house.desk.replay(key, read.print, &slip),
+                        None => slip.say(Word::Result(None)),
+                    }
+                }
                 // That one never ran after all: this is the first now, and hears its words on a slip of its own.
                 Word::Free => {
                     place.leave(Outcome::Moot, 0.0);
@@ -286,21 +306,25 @@
                     return;
                 }
                 Word::Result(None) => {
-                    answer.void();
+                    answer.void(Reason::Forerunner);
                     place.leave(Outcome::Failed, 0.0);
                     return;
                 }
                 // The run stands at a call, which goes below once the module lets it.
                 Word::AtCall { seq, body } => {
                     told = Told::Nothing;
-                    (asked.notice, asked.body) = (seq, body);
+                    (asked.notice, asked.body, asked.tries) = (seq, body, 0);
+                    answer.page.step(Step::AT_CALL);
                     house.desk.at_call(id);
                 }
                 Word::Call { limit } => {
+                    answer.page.step(if asked.tries == 0 { Step::CALL } else { Step::CALL_AGAIN });
+                    asked.tries += 1;
                     call = Some(Call::begin(house, read.name, asked.body.clone(), limit, &slip));
                 }
                 Word::Returned { outcome, took, body } => {
                     call = None;
+                    answer.page.step(Step::returned(outcome));
                     if outcome == Outcome::Done {
                         (told, asked.reply) = (Told::Deliver, body);
                         stamp = tell(house, told, &read, &asked);
@@ -308,16 +332,19 @@
                     house.desk.returned(id, outcome, took);
                 }
                 Word::SkipCall => {
+                    answer.page.step(Step::CALL_SKIPPED);
                     told = Told::Forgo;
                     stamp = tell(house, told, &read, &asked);
                 }
                 // Its due time is near, or its gateway has gone: the duty to answer ends, the run goes on.
-                Word::Void => answer.void(),
+                Word::Void(reason) => answer.void(reason),
                 Word::Gone => {
                     answer.owed = false;
+                    answer.page.step(Step::GONE);
                     house.desk.gone(id);
                 }
                 Word::Pause => {
+                    answer.page.step(Step::PAUSED);
                     (told, paused) = (Told::Freeze, true);
                     stamp = tell(house, told, &read, &asked);
                 }
@@ -325,6 +352,7 @@
                     if let Some(call) = call.take() {
                         call.give_up();
                     }
+                    answer.page.step(Step::ended(outcome));
                     match outcome {
                         Outcome::Done => {
                             let result = Arc::new(body);
@@ -334,11 +362,11 @@
                         Outcome::Moot => house.desk.never_ran(key, id),
                         _ => house.desk.ran(key, id, None),
                     }
-                    answer.void();
+                    answer.void(Reason::RunFailed);
                     place.leave(outcome, took);
                     return;
                 }
-                Word::Over => {
+                Word::Over | Word::Close => {
                     place.left = true;
                     return;
                 }
@@ -353,6 +381,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::memory::book::Book;
     use may::net::TcpStream;
     use std::net::TcpListener;
     use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -361,7 +390,7 @@
     fn a_panic_in_a_txn_still_answers_it_and_sets_its_key_free() {
         let warrant =
             puffinladder_charter::read_warrant(puffinladder_toy::town::EXAMPLE.as_bytes(), None, None);
-        let house = House::new(warrant.unwrap());
+        let house = House::new(warrant.unwrap(), Book::default());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let outlet = Outlet::new(&house, &TcpStream::connect(listener.local_addr().unwrap()).unwrap());
         let (slip, waits, key) = (Arc::new(Slip::default()), Arc::new(Slip::default()), [b'a'; 32]);
@@ -371,7 +400,8 @@
         let Offer::Taken(id) = house.desk.offer(&read, 0.0, &slip, 0.0) else { panic!("not taken") };
         house.desk.replay(&key, 5, &waits);
         let died = catch_unwind(AssertUnwindSafe(|| {
-            let _answer = Answer { house: &house, outlet: &outlet, tag: 7, owed: true };
+            let page = house.book.page(&read, 0.0, &house.warrant.terms);
+            let _answer = Answer { house: &house, outlet: &outlet, tag: 7, owed: true, page };
             let _place = Place { house: &house, key: Some(key), id, left: false };
             panic!("as a txn might");
         }));
--- a/crates/server/src/wire/agent.rs
+++ b/crates/server/src/wire/agent.rs
@@ -168,13 +168,13 @@
                 let before = heard;
                 let Err(end) = talk(house, address, &stream, &mut heard);
                 house.agent.lock().close();
-                log::warn!("agent: link lost behind notice {heard}: {end}");
+                tracing::warn!("agent: link lost behind notice {heard}: {end}");
                 // A link that brought something is sought again at once, and so is an agent that moved.
                 if heard > before || house.directory.peers().agent != address {
                     continue;
                 }
             }
-            Err(e) if !std::mem::replace(&mut quiet, true) => log::warn!("agent: not reached yet: {e}"),
+            Err(e) if !std::mem::replace(&mut quiet, true) => tracing::warn!("agent: not reached yet: {e}"),
             Err(_) => {}
         }
         house.chores.wait();
@@ -252,7 +252,7 @@
         }
         // Counted before it is read further: one that can't be read would come again on every new link.
         if seq > *heard + 1 {
-            log::warn!("agent: notices {} to {} are missing", *heard + 1, seq - 1);
+            tracing::warn!("agent: notices {} to {} are missing", *heard + 1, seq - 1);
         }
         *heard = seq;
     }
@@ -269,7 +269,7 @@
     };
     match word("op") {
         "greeting" => {
-            log::info!("agent: link is up, the agent is {}", word("end"));
+            tracing::info!("agent: link is up, the agent is {}", word("end"));
             let mut link = house.agent.lock();
             link.marked = house.clock.now();
             link.put(sample(MARK));
@@ -314,7 +314,7 @@
                 to(Word::Ended { outcome: Outcome::Moot, took: 0.0, body: Vec::new() });
             }
         }
-        _ => log::debug!("agent: passed over: {line}"),
+        _ => tracing::debug!("agent: passed over: {line}"),
     }
     Ok(())
 }
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -248,7 +248,7 @@
             }
             Err(e) => {
                 // Descriptors may have run out: others close soon.
-                log::warn!("listener: no connection accepted: {e}");
+                tracing::warn!("listener: no connection accepted: {e}");
                 house.gateways.make_room();
                 house.chores.wait();
             }
@@ -378,7 +378,8 @@
     #[test]
     fn where_all_together_leave_too_much_unread_only_those_close_that_leave_much() {
         let example = puffinladder_toy::town::EXAMPLE.as_bytes();
-        let house = House::new(puffinladder_charter::read_warrant(example, None, None).unwrap());
+        let house =
+            House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let [hog, other] = [(); 2].map(|()| Outlet::new(&house, &stream));
@@ -401,7 +402,8 @@
     #[test]
     fn who_came_again_and_again_may_lie_unused_for_longer_than_who_came_once() {
         let example = puffinladder_toy::town::EXAMPLE.as_bytes();
-        let house = House::new(puffinladder_charter::read_warrant(example, None, None).unwrap());
+        let house =
+            House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let outlet = Outlet::new(&house, &stream);
--- a/crates/server/src/wire/roster.rs
+++ b/crates/server/src/wire/roster.rs
@@ -21,7 +21,7 @@
             let end = report(house, roster);
             if let Err(e) = &end {
                 if well {
-                    log::warn!("roster: no report: {e}");
+                    tracing::warn!("roster: no report: {e}");
                 }
             }
             well = end.is_ok();
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -152,7 +152,7 @@
                         return Ok((outcome(reply.status, reply.not_run), reply.body.to_vec()))
                     }
                     Err(what) => {
-                        log::debug!("store: a call broke off: {what}");
+                        tracing::debug!("store: a call broke off: {what}");
                         return Err(broken);
                     }
                 }
--- /dev/null
+++ b/crates/trace/src/codec.rs
@@ -0,0 +1,272 @@
+//! Numbers, strings and columns as bytes. Every read is checked against what is left, and no size that stands
+//! in the bytes is allocated before it is known to fit them.
+
+use std::cell::RefCell;
+
+/// What a decoder says of bytes that no writer makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Bad(pub &'static str);
+
+/// Rows that a block may hold.
+pub const MOST_ROWS: usize = 1 << 16;
+/// Values that one column may hold: steps are at most so many a row.
+pub const MOST_VALUES: usize = MOST_ROWS * 16;
+/// Bytes of a head, unpacked.
+pub const MOST_HEAD: usize = 8 << 20;
+
+/// Reads from a slice, front to back.
+#[derive(Clone, Copy)]
+pub struct Cursor<'a>(pub &'a [u8]);
+
+impl<'a> Cursor<'a> {
+    pub fn take(&mut self, len: usize) -> Result<&'a [u8], Bad> {
+        let (front, rest) = self.0.split_at_checked(len).ok_or(Bad("it ends too early"))?;
+        self.0 = rest;
+        Ok(front)
+    }
+    fn fixed<const N: usize>(&mut self) -> Result<[u8; N], Bad> {
+        self.take(N)?.try_into().map_err(|_| Bad("it ends too early"))
+    }
+    pub fn u8(&mut self) -> Result<u8, Bad> {
+        Ok(self.fixed::<1>()?[0])
+    }
+    pub fn u16(&mut self) -> Result<u16, Bad> {
+        self.fixed().map(u16::from_le_bytes)
+    }
+    pub fn u32(&mut self) -> Result<u32, Bad> {
+        self.fixed().map(u32::from_le_bytes)
+    }
+    pub fn u64(&mut self) -> Result<u64, Bad> {
+        self.fixed().map(u64::from_le_bytes)
+    }
+    pub fn i64(&mut self) -> Result<i64, Bad> {
+        self.fixed().map(i64::from_le_bytes)
+    }
+    pub fn f64(&mut self) -> Result<f64, Bad> {
+        self.fixed().map(f64::from_le_bytes)
+    }
+    /// Seven bits a byte, lowest first.
+    pub fn varint(&mut self) -> Result<u64, Bad> {
+        let mut value = 0u64;
+        for shift in (0..64).step_by(7) {
+            let byte = self.u8()?;
+            value |= u64::from(byte & 0x7f) << shift;
+            if byte < 0x80 {
+                return if shift == 63 && byte > 1 { Err(Bad("a number is too long")) } else { Ok(value) };
+            }
+        }
+        Err(Bad("a number is too long"))
+    }
+    /// A number that is to stay within `most`.
+    pub fn count(&mut self, most: usize) -> Result<usize, Bad> {
+        let value = self.varint()?;
+        usize::try_from(value).ok().filter(|v| *v <= most).ok_or(Bad("a count is out of range"))
+    }
+    pub fn bytes(&mut self) -> Result<&'a [u8], Bad> {
+        let len = self.count(self.0.len())?;
+        self.take(len)
+    }
+    pub fn text(&mut self) -> Result<&'a str, Bad> {
+        std::str::from_utf8(self.bytes()?).map_err(|_| Bad("a name is not UTF-8"))
+    }
+}
+
+pub fn put_varint(out: &mut Vec<u8>, mut value: u64) {
+    while value >= 0x80 {
+        out.push(value as u8 | 0x80);
+        value >>= 7;
+    }
+    out.push(value as u8);
+}
+
+pub fn put_bytes(out: &mut Vec<u8>, bytes: &[u8]) {
+    put_varint(out, bytes.len() as u64);
+    out.extend_from_slice(bytes);
+}
+
+/// The sign moves to the lowest bit, so that small numbers of either sign stay small.
+pub fn zigzag(value: i64) -> u64 {
+    ((value << 1) ^ (value >> 63)) as u64
+}
+
+pub fn unzigzag(value: u64) -> i64 {
+    (value >> 1) as i64 ^ -((value & 1) as i64)
+}
+
+/// Eight significant bits are kept of a measured size: exact below 256, within 0.2% above. The codes are in the
+/// order of the sizes, and a size that was rounded once stays as it is.
+pub fn coarse(value: u32) -> u16 {
+    let shift = (u32::BITS - value.leading_zeros()).saturating_sub(8);
+    ((shift << 7) + (value >> shift)) as u16
+}
+
+/// The middle of the sizes that share a code.
+pub fn fine(code: u16) -> u32 {
+    let code = u32::from(code);
+    if code < 256 {
+        return code;
+    }
+    let shift = ((code >> 7) - 1).min(24);
+    let top = code - (shift << 7);
+    (top.min(255) << shift) + (1 << shift >> 1)
+}
+
+/// A size as it will come back.
+pub fn rounded(value: u32) -> u32 {
+    fine(coarse(value))
+}
+
+thread_local! {
+    static PACK: RefCell<Option<zstd::bulk::Compressor<'static>>> = const { RefCell::new(None) };
+    static UNPACK: RefCell<Option<zstd::bulk::Decompressor<'static>>> = const { RefCell::new(None) };
+}
+
+/// zstd's level: what comes here is short and mostly noise, a higher one gains nothing.
+const LEVEL: i32 = 3;
+
+/// Packed bytes, if they are fewer.
+fn packed(bytes: &[u8]) -> Option<Vec<u8>> {
+    PACK.with_borrow_mut(|pack| {
+        if pack.is_none() {
+            *pack = zstd::bulk::Compressor::new(LEVEL).ok();
+            if let Some(pack) = pack {
+                // The block has a checksum, and knows its sizes.
+                let _ = pack.include_checksum(false);
+                let _ = pack.include_contentsize(false);
+            }
+        }
+        pack.as_mut()?.compress(bytes).ok().filter(|small| small.len() < bytes.len())
+    })
+}
+
+fn unpacked(bytes: &[u8], len: usize) -> Result<Vec<u8>, Bad> {
+    let wrong = Bad("packed bytes can't be unpacked");
+    UNPACK.with_borrow_mut(|unpack| {
+        if unpack.is_none() {
+            *unpack = zstd::bulk::Decompressor::new().ok();
+        }
+        let all = unpack.as_mut().ok_or(wrong)?.decompress(bytes, len).map_err(|_| wrong)?;
+        if all.len() == len {
+            Ok(all)
+        } else {
+            Err(wrong)
+        }
+    })
+}
+
+/// Bytes with their length, packed where that helps.
+pub fn put_packed(out: &mut Vec<u8>, bytes: &[u8]) {
+    put_varint(out, bytes.len() as u64);
+    match packed(bytes) {
+        Some(small) => {
+            out.push(1);
+            put_bytes(out, &small);
+        }
+        None => {
+            out.push(0);
+            put_bytes(out, bytes);
+        }
+    }
+}
+
+pub fn take_packed(from: &mut Cursor, most: usize) -> Result<Vec<u8>, Bad> {
+    let len = from.count(most)?;
+    let mode = from.u8()?;
+    let bytes = from.bytes()?;
+    match mode {
+        0 if bytes.len() == len => Ok(bytes.to_vec()),
+        1 => unpacked(bytes, len),
+        _ => Err(Bad("unknown packing")),
+    }
+}
+
+const RAW: u8 = 0;
+const ZSTD: u8 = 1;
+const SAME: u8 = 2;
+
+/// A column: its lowest bytes, then the next, each plane packed by itself, since the lowest are mostly noise and
+/// the upper ones mostly alike.
+pub fn put_column(out: &mut Vec<u8>, values: &[u64]) {
+    put_varint(out, values.len() as u64);
+    let most = values.iter().copied().fold(0, |all, value| all | value);
+    let width = (u64::BITS - most.leading_zeros()).div_ceil(8) as u8;
+    out.push(width);
+    let mut plane = Vec::with_capacity(values.len());
+    for byte in 0..width {
+        plane.clear();
+        plane.extend(values.iter().map(|value| (value >> (8 * byte)) as u8));
+        if plane.iter().all(|b| *b == plane[0]) {
+            out.push(SAME);
+            out.push(plane[0]);
+        } else if let Some(small) = packed(&plane) {
+            out.push(ZSTD);
+            put_bytes(out, &small);
+        } else {
+            out.push(RAW);
+            out.extend_from_slice(&plane);
+        }
+    }
+}
+
+/// The values of a column, of which there should be `wanted`, or at most [`MOST_VALUES`].
+pub fn take_column(from: &mut Cursor, wanted: Option<usize>) -> Result<Vec<u64>, Bad> {
+    let count = from.count(wanted.unwrap_or(MOST_VALUES))?;
+    if wanted.is_some_and(|wanted| wanted != count) {
+        return Err(Bad("a column lacks values"));
+    }
+    let width = from.u8()?;
+    if width > 8 {
+        return Err(Bad("a column is too wide"));
+    }
+    let mut values = vec![0u64; count];
+    for byte in 0..width {
+        let mut enter = |plane: &[u8]| {
+            values.iter_mut().zip(plane).for_each(|(value, b)| *value |= u64::from(*b) << (8 * byte));
+        };
+        match from.u8()? {
+            RAW => enter(from.take(count)?),
+            ZSTD => enter(&unpacked(from.bytes()?, count)?),
+            SAME => {
+                let same = u64::from(from.u8()?) << (8 * byte);
+                values.iter_mut().for_each(|value| *value |= same);
+            }
+            _ => return Err(Bad("unknown packing")),
+        }
+    }
+    Ok(values)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_size_rounded_once_stays_and_keeps_its_order() {
+        for value in (0..4096).chain((12..32).flat_map(|b| [1 << b, (1 << b) - 1, (1 << b) + 77])) {
+            let near = rounded(value);
+            assert_eq!(rounded(near), near, "{value}");
+            assert!(
+                (f64::from(near) - f64::from(value)).abs() <= f64::from(value) / 256.0,
+                "{value}: {near}"
+            );
+        }
+        assert!((0..u32::from(coarse(u32::MAX))).all(|c| fine(c as u16) < fine(c as u16 + 1)));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(16), ..ProptestConfig::default() })]
+        #[test]
+        fn columns_come_back(values in proptest::collection::vec(any::<u64>().prop_map(|v| v >> (v % 61)), 0..600)) {
+            let mut bytes = Vec::new();
+            put_column(&mut bytes, &values);
+            prop_assert_eq!(take_column(&mut Cursor(&bytes), Some(values.len())).unwrap(), values);
+        }
+        #[test]
+        fn any_bytes_are_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = take_column(&mut Cursor(&bytes), None);
+            let _ = take_packed(&mut Cursor(&bytes), MOST_HEAD);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trace/src/open.rs
@@ -0,0 +1,420 @@
+//! Opens files of every version, sealed or torn, and reads their blocks.
+
+use crate::block::{self, Head};
+use crate::codec::{Bad, Cursor};
+use crate::file::{self, BlockHeader, Entry, Kind, Meta, BLOCK, HEADER, MAGIC, TRAILER};
+use crate::row::{Names, Note, Row};
+use crate::v1;
+use std::io::{self, Read, Seek, SeekFrom};
+
+/// Why a file can't be read at all.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("not a trace: {0}")]
+    NotATrace(&'static str),
+    #[error("this trace has version {0}, this program reads 1 and 2: take a newer one")]
+    Version(u16),
+    #[error("block at byte {offset}: {what}")]
+    Block { offset: u64, what: &'static str },
+}
+
+/// A part of a file that can't be read. What is lost is named, the rest stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Damage {
+    pub offset: u64,
+    pub len: u64,
+    /// How many rows or notes went with it, where that is known.
+    pub rows: Option<u32>,
+    pub what: &'static str,
+}
+
+/// Frames of version 1 that are taken together as one block.
+const FRAMES: u32 = 4096;
+/// Bytes looked at in one go while a damaged file is searched.
+const CHUNK: usize = 1 << 20;
+
+/// An open trace.
+pub struct Trace<R> {
+    from: R,
+    pub len: u64,
+    pub major: u16,
+    pub minor: u16,
+    pub meta: Meta,
+    /// It has its index; otherwise the blocks were found by looking for them.
+    pub sealed: bool,
+    pub entries: Vec<Entry>,
+    pub damage: Vec<Damage>,
+}
+
+impl<R: Read + Seek> Trace<R> {
+    pub fn open(mut from: R) -> Result<Trace<R>, Fault> {
+        let len = from.seek(SeekFrom::End(0))?;
+        let mut trace = Trace {
+            from,
+            len,
+            major: file::MAJOR,
+            minor: 0,
+            meta: Meta::default(),
+            sealed: false,
+            entries: Vec::new(),
+            damage: Vec::new(),
+        };
+        let front = trace.bytes(0, len.min(HEADER as u64) as usize)?;
+        if front.len() < HEADER {
+            return Err(Fault::NotATrace(if front.is_empty() {
+                "it is empty"
+            } else {
+                "it ends in its header"
+            }));
+        }
+        let begin = match trace.header(&front)? {
+            Some(begin) => begin,
+            None => {
+                // A header that can't be read costs the node's name, unless the blocks are gone as well.
+                let len = len.min(HEADER as u64);
+                trace.damage.push(Damage { offset: 0, len, rows: None, what: "the header can't be read" });
+                8
+            }
+        };
+        let known = trace.damage.is_empty();
+        if trace.major == v1::MAJOR {
+            trace.frames(begin)?;
+        } else if !trace.index()? {
+            trace.scan(begin)?;
+            if !known && trace.entries.is_empty() {
+                (trace.major, trace.damage) = (v1::MAJOR, trace.damage.drain(..1).collect());
+                trace.frames(begin)?;
+            }
+        }
+        if !known && trace.entries.is_empty() {
+            return Err(Fault::NotATrace("neither a header nor a block can be read"));
+        }
+        Ok(trace)
+    }
+
+    /// Where the blocks begin; none if the header is damaged.
+    fn header(&mut self, front: &[u8]) -> Result<Option<u64>, Fault> {
+        let mut at = Cursor(&front[8..]);
+        let (Ok(major), Ok(minor), Ok(text)) = (at.u16(), at.u16(), at.u32()) else { return Ok(None) };
+        if front[..8] != MAGIC || text as usize > file::MOST_TEXT {
+            return Ok(None);
+        }
+        let whole = self.bytes(0, HEADER + text as usize + 4)?;
+        let Some((bytes, crc)) = whole.split_last_chunk::<4>() else { return Ok(None) };
+        if whole.len() < HEADER + text as usize + 4 || crc32c::crc32c(bytes).to_le_bytes() != *crc {
+            return Ok(None);
+        }
+        if major != v1::MAJOR && major != file::MAJOR {
+            return Err(Fault::Version(major));
+        }
+        (self.major, self.minor) = (major, minor);
+        self.meta = file::take_meta(&bytes[HEADER..]).unwrap_or_default();
+        Ok(Some(whole.len() as u64))
+    }
+
+    /// As many bytes as there are, up to `len`.
+    fn bytes(&mut self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        let len = len.min(usize::try_from(self.len.saturating_sub(offset)).unwrap_or(usize::MAX));
+        self.from.seek(SeekFrom::Start(offset))?;
+        let mut bytes = vec![0; len];
+        let mut have = 0;
+        while have < len {
+            match self.from.read(&mut bytes[have..]) {
+                Ok(0) => break,
+                Ok(count) => have += count,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        bytes.truncate(have);
+        Ok(bytes)
+    }
+
+    /// Whether trailer and index could be read.
+    fn index(&mut self) -> io::Result<bool> {
+        let Some(at) = self.len.checked_sub(TRAILER as u64) else { return Ok(false) };
+        let trailer = self.bytes(at, TRAILER)?;
+        let mut from = Cursor(&trailer);
+        let (Ok(offset), Ok(len), Ok(crc)) = (from.u64(), from.u32(), from.u32()) else { return Ok(false) };
+        let sound = from.0 == file::END && crc32c::crc32c(&trailer[..12]) == crc;
+        if !sound || offset.checked_add(BLOCK as u64 + u64::from(len)) != Some(at) {
+            return Ok(false);
+        }
+        let block = self.bytes(offset, BLOCK + len as usize)?;
+        let Some(header) = BlockHeader::take(&block) else { return Ok(false) };
+        let body = &block[BLOCK..];
+        if header.kind != Kind::Index || crc32c::crc32c(body) != header.crc_body {
+            return Ok(false);
+        }
+        let Ok(entries) = file::take_index(body) else { return Ok(false) };
+        if entries.iter().any(|e| e.offset.checked_add(e.len).is_none_or(|end| end > offset)) {
+            return Ok(false);
+        }
+        (self.entries, self.sealed) = (entries, true);
+        Ok(true)
+    }
+
+    /// Finds the blocks of a file without an index.
+    fn scan(&mut self, begin: u64) -> io::Result<()> {
+        let mut at = begin;
+        while at < self.len {
+            let bytes = self.bytes(at, BLOCK)?;
+            let Some(header) = BlockHeader::take(&bytes) else {
+                let next = self.search(at + 1)?;
+                let end = next.unwrap_or(self.len);
+                let what = if next.is_some() { "a block's header can't be read" } else { "torn end" };
+                // The trailer of a file whose index is damaged is no loss.
+                if !(next.is_none() && self.len - at == TRAILER as u64) {
+                    self.damage.push(Damage { offset: at, len: end - at, rows: None, what });
+                }
+                at = end;
+                continue;
+            };
+            let whole = header.whole();
+            if at + whole > self.len {
+                // Either the end is torn, or the length is a lie and more blocks follow.
+                let next = self.search(at + 1)?;
+                let end = next.unwrap_or(self.len);
+                let rows = Some(header.rows);
+                self.damage.push(Damage { offset: at, len: end - at, rows, what: "torn end" });
+                at = end;
+                continue;
+            }
+            if matches!(header.kind, Kind::Rows | Kind::Notes) {
+                let head = self.bytes(at + BLOCK as u64, header.head as usize)?;
+                let read = (crc32c::crc32c(&head) == header.crc_head)
+                    .then(|| block::take_head(&mut Names::default(), &head).ok());
+                match read.flatten() {
+                    Some(head) => self.entries.push(Entry {
+                        offset: at,
+                        len: whole,
+                        kind: header.kind,
+                        rows: header.rows,
+                        from: head.from,
+                        to: head.to,
+                    }),
+                    None => self.damage.push(Damage {
+                        offset: at,
+                        len: whole,
+                        rows: Some(header.rows),
+                        what: "a block's head can't be read",
+                    }),
+                }
+            }
+            at += whole;
+        }
+        Ok(())
+    }
+
+    /// The next place at or behind `at` where a block begins.
+    fn search(&mut self, mut at: u64) -> io::Result<Option<u64>> {
+        while at < self.len {
+            let bytes = self.bytes(at, CHUNK + BLOCK)?;
+            let found = (0..bytes.len().min(CHUNK)).find(|place| {
+                bytes[*place] == file::MARK[0] && BlockHeader::take(&bytes[*place..]).is_some()
+            });
+            if let Some(place) = found {
+                return Ok(Some(at + place as u64));
+            }
+            at += CHUNK as u64;
+        }
+        Ok(None)
+    }
+
+    /// Finds the frames of a file of version 1.
+    fn frames(&mut self, begin: u64) -> io::Result<()> {
+        let new = |offset, kind| Entry { offset, len: 0, kind, rows: 0, from: i64::MAX, to: i64::MIN };
+        let (mut rows, mut notes) = (new(begin, Kind::Rows), new(begin, Kind::Notes));
+        let (mut at, mut bad) = (begin, None);
+        let (mut bytes, mut base) = (Vec::new(), begin);
+        // So that a frame is never cut by the end of what is in memory.
+        let most = v1::FRAME + usize::from(u16::MAX);
+        while at < self.len {
+            let behind = (at - base) as usize;
+            if bytes.len().saturating_sub(behind) < most && base + (bytes.len() as u64) < self.len
+                || bytes.is_empty()
+            {
+                (bytes, base) = (self.bytes(at, CHUNK + most)?, at);
+                continue;
+            }
+            let here = &bytes[behind..];
+            let Some(payload) = v1::frame(here) else {
+                bad.get_or_insert(at);
+                // On to the next place where one may begin.
+                let skip = here[1..].iter().position(|b| *b == v1::MARK).map_or(here.len(), |p| p + 1);
+                at += skip as u64;
+                continue;
+            };
+            if let Some(from) = bad.take() {
+                self.damage.push(Damage {
+                    offset: from,
+                    len: at - from,
+                    rows: None,
+                    what: "unreadable frames",
+                });
+            }
+            let end = at + (v1::FRAME + payload.len()) as u64;
+            let time = payload.get(1..9).and_then(|b| Cursor(b).i64().ok());
+            for (entry, kind) in [(&mut rows, 1), (&mut notes, 2)] {
+                if let (Some(time), true) = (time, payload.first() == Some(&kind)) {
+                    entry.rows += 1;
+                    (entry.from, entry.to) = (entry.from.min(time), entry.to.max(time));
+                }
+                entry.len = end - entry.offset;
+            }
+            if rows.rows >= FRAMES || notes.rows >= FRAMES {
+                self.entries.extend([rows, notes].into_iter().filter(|entry| entry.rows > 0));
+                (rows, notes) = (new(end, Kind::Rows), new(end, Kind::Notes));
+            }
+            at = end;
+        }
+        self.entries.extend([rows, notes].into_iter().filter(|entry| entry.rows > 0));
+        if let Some(from) = bad {
+            self.damage.push(Damage { offset: from, len: self.len - from, rows: None, what: "torn end" });
+        }
+        // A file of version 1 has no end mark: one that ends with a whole frame counts as sealed.
+        self.sealed = bad.is_none();
+        Ok(())
+    }
+
+    fn wrong(entry: &Entry, bad: Bad) -> Fault {
+        Fault::Block { offset: entry.offset, what: bad.0 }
+    }
+
+    /// The stored head and body of a block of version 2, their checksums verified.
+    fn block(&mut self, entry: &Entry, with_body: bool) -> Result<(Vec<u8>, Vec<u8>), Fault> {
+        let wrong = |what| Self::wrong(entry, Bad(what));
+        let header = self.bytes(entry.offset, BLOCK)?;
+        let header = BlockHeader::take(&header).ok_or(wrong("its header can't be read"))?;
+        if header.whole() != entry.len || header.kind != entry.kind || header.rows != entry.rows {
+            return Err(wrong("it is another than the index says"));
+        }
+        let len = header.head as usize + if with_body { header.body as usize } else { 0 };
+        let mut head = self.bytes(entry.offset + BLOCK as u64, len)?;
+        if head.len() < len {
+            return Err(wrong("it is cut off"));
+        }
+        let body = head.split_off(header.head as usize);
+        if crc32c::crc32c(&head) != header.crc_head {
+            return Err(wrong("the checksum of its head is wrong"));
+        }
+        if with_body && crc32c::crc32c(&body) != header.crc_body {
+            return Err(wrong("its checksum is wrong"));
+        }
+        Ok((head, body))
+    }
+
+    /// The bytes of a whole block as they stand, to be written elsewhere.
+    pub fn raw(&mut self, entry: &Entry) -> Result<file::Packed, Fault> {
+        let (head, body) = self.block(entry, true)?;
+        let header = self.bytes(entry.offset, BLOCK)?;
+        let bytes = [header, head, body].concat();
+        Ok(file::Packed { kind: entry.kind, rows: entry.rows, from: entry.from, to: entry.to, bytes })
+    }
+
+    /// What a block says of itself.
+    pub fn head(&mut self, entry: &Entry, names: &mut Names) -> Result<Head, Fault> {
+        if self.major == v1::MAJOR {
+            if entry.kind == Kind::Notes {
+                let (from, to) = (entry.from, entry.to);
+                return Ok(Head { from, to, rows: entry.rows as usize, ..Head::default() });
+            }
+            let mut rows = Vec::new();
+            self.rows(entry, names, &mut rows)?;
+            return Ok(block::pack_rows(names, &mut rows).0);
+        }
+        let (head, _) = self.block(entry, false)?;
+        block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))
+    }
+
+    /// Enters the rows of a block behind those that are there, in the order of their reading.
+    pub fn rows(&mut self, entry: &Entry, names: &mut Names, into: &mut Vec<Row>) -> Result<(), Fault> {
+        if entry.kind != Kind::Rows {
+            return Ok(());
+        }
+        let had = into.len();
+        if self.major == v1::MAJOR {
+            self.each_frame(entry, names, |frame| {
+                if let v1::Frame::Row(row) = frame {
+                    into.push(row);
+                }
+            })?;
+            into[had..].sort_by_key(|row| row.read);
+            return Ok(());
+        }
+        let (head, body) = self.block(entry, true)?;
+        let head = block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))?;
+        block::take_rows(names, &head, &body, into).map_err(|bad| {
+            into.truncate(had);
+            Self::wrong(entry, bad)
+        })
+    }
+
+    pub fn notes(&mut self, entry: &Entry, names: &mut Names, into: &mut Vec<Note>) -> Result<(), Fault> {
+        if entry.kind != Kind::Notes {
+            return Ok(());
+        }
+        let had = into.len();
+        if self.major == v1::MAJOR {
+            return self.each_frame(entry, names, |frame| {
+                if let v1::Frame::Note(note) = frame {
+                    into.push(note);
+                }
+            });
+        }
+        let (head, body) = self.block(entry, true)?;
+        let head = block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))?;
+        block::take_notes(&head, &body, into).map_err(|bad| {
+            into.truncate(had);
+            Self::wrong(entry, bad)
+        })
+    }
+
+    fn each_frame(
+        &mut self,
+        entry: &Entry,
+        names: &mut Names,
+        mut each: impl FnMut(v1::Frame),
+    ) -> Result<(), Fault> {
+        let bytes = self.bytes(entry.offset, entry.len as usize)?;
+        let mut rest = &bytes[..];
+        while !rest.is_empty() {
+            match v1::frame(rest) {
+                Some(payload) => {
+                    if let Ok(frame) = v1::decode(names, payload) {
+                        each(frame);
+                    }
+                    rest = &rest[v1::FRAME + payload.len()..];
+                }
+                // The damage was named when the file was opened.
+                None => rest = &rest[1..],
+            }
+        }
+        Ok(())
+    }
+
+    /// Bytes that each column takes, over all blocks of rows, with `(0, bytes)` for heads.
+    pub fn column_sizes(&mut self) -> Result<Vec<(u8, u64)>, Fault> {
+        let mut sizes = [0u64; 32];
+        if self.major == file::MAJOR {
+            for entry in self.entries.clone().iter().filter(|entry| entry.kind == Kind::Rows) {
+                let (head, body) = self.block(entry, true)?;
+                sizes[0] += (head.len() + BLOCK) as u64;
+                let sections = block::Sections::new(&body).map_err(|bad| Self::wrong(entry, bad))?;
+                sections.sizes().for_each(|(id, len)| sizes[usize::from(id) % 32] += len as u64);
+            }
+        }
+        Ok((0u8..).zip(sizes).filter(|(_, size)| *size > 0).collect())
+    }
+
+    /// From the first to the last row or note, us.
+    pub fn span(&self) -> Option<(i64, i64)> {
+        let from = self.entries.iter().map(|entry| entry.from).min()?;
+        Some((from, self.entries.iter().map(|entry| entry.to).max()?))
+    }
+    pub fn count(&self, kind: Kind) -> u64 {
+        self.entries.iter().filter(|entry| entry.kind == kind).map(|entry| u64::from(entry.rows)).sum()
+    }
+}
--- /dev/null
+++ b/crates/trace/src/recorder/mod.rs
@@ -0,0 +1,425 @@
+//! Writes a trace beside live traffic. Whoever records puts a fixed-size entry into a bounded ring and goes on: no
+//! I/O, no lock, no allocation. A thread of its own takes it out, packs it and keeps the files, as [`keeper`]
+//! decides. What it can't keep up with is dropped and counted in the file.
+
+pub mod keeper;
+
+use crate::file::{self, Meta, Writer};
+use crate::row::{Names, Note, Product, Row, Step, Topic, LAST, MOST_STEPS, REPEAT};
+use crossbeam_queue::ArrayQueue;
+use keeper::{Act, Bounds, Keeper, Lying};
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Entries that wait for the thread: two seconds of a thousand txns each.
+const RING: usize = 2048;
+/// How long the thread sleeps while nothing comes.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// A txn's life, as whoever lives it writes it down.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// s, Unix: when it was read. When it came is told by `unread`, s.
+    pub read: f64,
+    pub unread: f64,
+    pub product: u16,
+    pub customer: u32,
+    pub caller: u32,
+    pub rank: f64,
+    /// s
+    pub hint: f64,
+    /// KB
+    pub memory: f64,
+    pub repeat: bool,
+    pub last: bool,
+    /// s
+    pub keep_off: f64,
+    pub name: [u8; 16],
+    pub key: Option<[u8; 32]>,
+    steps: [u8; MOST_STEPS],
+    /// us from the step before.
+    spans: [u32; MOST_STEPS],
+    count: u8,
+    at: f64,
+}
+
+impl Entry {
+    pub fn new(read: f64, name: [u8; 16]) -> Entry {
+        Entry {
+            read,
+            unread: 0.0,
+            product: 0,
+            customer: 0,
+            caller: 0,
+            rank: 0.0,
+            hint: 0.0,
+            memory: 0.0,
+            repeat: false,
+            last: false,
+            keep_off: 0.0,
+            name,
+            key: None,
+            steps: [0; MOST_STEPS],
+            spans: [0; MOST_STEPS],
+            count: 0,
+            at: read,
+        }
+    }
+
+    /// Something happened to it at this time. Past the most steps only its last places change: one that says that
+    /// there were more, and what it ended with.
+    pub fn step(&mut self, now: f64, step: Step) {
+        let mut span = micros(now - self.at);
+        self.at = now;
+        if usize::from(self.count) == MOST_STEPS {
+            let decisive = Step(self.steps[MOST_STEPS - 1]).is_final();
+            if decisive {
+                return;
+            }
+            span = span.saturating_add(self.spans[MOST_STEPS - 1]);
+            self.steps[MOST_STEPS - 2] = Step::MORE.0;
+            self.count -= 1;
+        }
+        let at = usize::from(self.count);
+        (self.steps[at], self.spans[at]) = (step.0, span);
+        self.count += 1;
+    }
+}
+
+/// Seconds as microseconds that a row can hold.
+fn micros(span: f64) -> u32 {
+    (span * 1e6).clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
+// A box for the larger kind would be an allocation on the txn's path; the ring is made once.
+#[allow(clippy::large_enum_variant)]
+enum Item {
+    Txn(Entry),
+    Note { at: f64, topic: Topic, value: f32 },
+}
+
+/// What a recorder is told.
+pub struct Told {
+    pub node: String,
+    pub bounds: Bounds,
+    pub products: Vec<Product>,
+    pub customers: Vec<String>,
+    /// By which names and keys are hashed.
+    pub key: [u8; 32],
+    /// One txn of so many is kept, all tries under a key alike.
+    pub sample: u32,
+}
+
+/// Where files are made. The real one is a [`Folder`]; tests have one that fails on cue.
+pub trait Place: Send + 'static {
+    /// Files that lie there, oldest first.
+    fn list(&mut self) -> io::Result<Vec<Lying>>;
+    fn create(&mut self, name: &str) -> io::Result<Box<dyn Write + Send>>;
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+}
+
+/// A folder in which only files of one prefix are touched.
+pub struct Folder {
+    pub path: PathBuf,
+    pub prefix: String,
+}
+
+impl Place for Folder {
+    fn list(&mut self) -> io::Result<Vec<Lying>> {
+        std::fs::create_dir_all(&self.path)?;
+        let mut all = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            let entry = entry?;
+            let name = entry.file_name().to_string_lossy().into_owned();
+            if name.starts_with(&self.prefix) && name.ends_with(".trace") {
+                all.push(Lying { name, bytes: entry.metadata().map_or(0, |meta| meta.len()) });
+            }
+        }
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(all)
+    }
+    fn create(&mut self, name: &str) -> io::Result<Box<dyn Write + Send>> {
+        let file = std::fs::OpenOptions::new().write(true).create_new(true).open(self.path.join(name))?;
+        Ok(Box::new(file))
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        std::fs::remove_file(self.path.join(name))
+    }
+}
+
+struct Shared {
+    ring: ArrayQueue<Item>,
+    /// Entries that found the ring full since the thread last looked, and all records lost so far.
+    full: AtomicU64,
+    lost: AtomicU64,
+    ending: AtomicBool,
+}
+
+/// The end of the ring that traffic writes to.
+#[derive(Clone)]
+pub struct Recorder(Arc<Shared>);
+
+/// The thread behind it.
+pub struct Running {
+    shared: Arc<Shared>,
+    thread: JoinHandle<()>,
+}
+
+impl Recorder {
+    /// Starts to record there. `complain` hears of what fails, as a line.
+    pub fn start(
+        told: Told,
+        place: impl Place,
+        stack: usize,
+        complain: impl FnMut(&str) + Send + 'static,
+    ) -> io::Result<(Recorder, Running)> {
+        let shared = Arc::new(Shared {
+            ring: ArrayQueue::new(RING),
+            full: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+            ending: AtomicBool::new(false),
+        });
+        let hand = Hand::new(told, place, shared.clone(), complain);
+        let builder = thread::Builder::new().name("trace".into()).stack_size(stack);
+        let thread = builder.spawn(move || hand.work())?;
+        Ok((Recorder(shared.clone()), Running { shared, thread }))
+    }
+
+    pub fn txn(&self, entry: &Entry) {
+        self.put(Item::Txn(*entry));
+    }
+    pub fn note(&self, at: f64, topic: Topic, value: f64) {
+        self.put(Item::Note { at, topic, value: value as f32 });
+    }
+    fn put(&self, item: Item) {
+        if self.0.ring.push(item).is_err() {
+            self.0.full.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+    /// Records lost so far.
+    pub fn lost(&self) -> u64 {
+        self.0.lost.load(Ordering::Relaxed) + self.0.full.load(Ordering::Relaxed)
+    }
+}
+
+impl Running {
+    /// Writes what waits and seals the file, in `within` at the most: a disk that hangs must not hold up the end.
+    pub fn end(self, within: Duration) {
+        self.shared.ending.store(true, Ordering::Release);
+        self.thread.thread().unpark();
+        let begun = std::time::Instant::now();
+        while !self.thread.is_finished() && begun.elapsed() < within {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+/// The thread's side.
+struct Hand<P, C> {
+    keeper: Keeper,
+    place: P,
+    complain: C,
+    shared: Arc<Shared>,
+    told: Told,
+    names: Names,
+    node: u32,
+    products: Vec<u32>,
+    customers: Vec<u32>,
+    rows: Vec<Row>,
+    notes: Vec<Note>,
+    out: Option<(String, Writer<Box<dyn Write + Send>>)>,
+    serial: u32,
+}
+
+fn unix() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
+}
+
+/// The hash of a name or key under a key: nobody without it can tell whose it was.
+pub fn keyed(key: &[u8; 32], bytes: &[u8]) -> u64 {
+    let hash = blake3::keyed_hash(key, bytes);
+    hash.as_bytes().first_chunk().map_or(1, |first| u64::from_le_bytes(*first))
+}
+
+impl<P: Place, C: FnMut(&str)> Hand<P, C> {
+    fn new(told: Told, mut place: P, shared: Arc<Shared>, mut complain: C) -> Hand<P, C> {
+        let mut names = Names::default();
+        let files = place.list().unwrap_or_else(|e| {
+            complain(&format!("trace: the folder can't be read: {e}"));
+            Vec::new()
+        });
+        Hand {
+            keeper: Keeper::new(told.bounds.clone(), files),
+            node: names.word(&told.node),
+            products: told.products.iter().map(|product| names.product(product)).collect(),
+            customers: told.customers.iter().map(|customer| names.word(customer)).collect(),
+            names,
+            place,
+            complain,
+            shared,
+            told,
+            rows: Vec::new(),
+            notes: Vec::new(),
+            out: None,
+            serial: 0,
+        }
+    }
+
+    fn work(mut self) {
+        loop {
+            let ending = self.shared.ending.load(Ordering::Acquire);
+            let now = unix();
+            self.gather(now);
+            if ending {
+                self.keeper.end();
+            }
+            while let Some(act) = self.keeper.next(now) {
+                self.act(now, act);
+            }
+            self.shared.lost.store(self.keeper.dropped, Ordering::Relaxed);
+            if ending && self.keeper.done(now) {
+                return;
+            }
+            thread::park_timeout(LOOK);
+        }
+    }
+
+    fn gather(&mut self, now: f64) {
+        self.keeper.lost(self.shared.full.swap(0, Ordering::Relaxed));
+        // No more than there is room for at once, so that a flood leaves time to write.
+        for _ in 0..RING {
+            let Some(item) = self.shared.ring.pop() else { return };
+            if let Item::Txn(entry) = &item {
+                if !self.sampled(entry) {
+                    continue;
+                }
+            }
+            if !self.keeper.take(now) {
+                continue;
+            }
+            match item {
+                Item::Txn(entry) => {
+                    let row = self.row(&entry);
+                    self.rows.push(row);
+                }
+                Item::Note { at, topic, value } => {
+                    self.notes.push(Note { at: (at * 1e6) as i64, node: self.node, topic, value })
+                }
+            }
+        }
+    }
+
+    /// All tries under a key are kept, or none.
+    fn sampled(&self, entry: &Entry) -> bool {
+        let named = entry.key.as_ref().map_or(&entry.name[..], |key| &key[..]);
+        self.told.sample <= 1 || keyed(&self.told.key, named).is_multiple_of(u64::from(self.told.sample))
+    }
+
+    fn row(&mut self, entry: &Entry) -> Row {
+        let count = usize::from(entry.count);
+        let name = |at: usize, all: &[u32], names: &mut Names| {
+            all.get(at).copied().unwrap_or_else(|| names.word(""))
+        };
+        Row {
+            read: (entry.read * 1e6) as i64,
+            unread: micros(entry.unread),
+            node: self.node,
+            product: self.products.get(usize::from(entry.product)).copied().unwrap_or(0),
+            customer: name(entry.customer as usize, &self.customers, &mut self.names),
+            caller: entry.caller,
+            rank: (entry.rank * 256.0) as u8,
+            hint: micros(entry.hint),
+            memory: (entry.memory * 1024.0).clamp(0.0, f64::from(u32::MAX)) as u32,
+            flags: if entry.repeat { REPEAT } else { 0 } | if entry.last { LAST } else { 0 },
+            name: keyed(&self.told.key, &entry.name) as u32,
+            key: entry.key.map_or(0, |key| keyed(&self.told.key, &key).max(1)),
+            keep_off: (entry.keep_off * 1e3).ceil().clamp(0.0, f64::from(u32::MAX)) as u32,
+            path: self.names.path(&entry.steps[..count]),
+            spans: entry.spans[..count].iter().copied().collect(),
+        }
+    }
+
+    fn act(&mut self, now: f64, act: Act) {
+        match act {
+            Act::Open => {
+                let opened = self.open(now);
+                let bytes = self.failing(opened, "no file could be begun");
+                self.keeper.opened(now, bytes);
+            }
+            Act::Write => {
+                let lost = self.keeper.tell();
+                if lost > 0 {
+                    let (at, topic) = ((now * 1e6) as i64, Topic::DROPPED);
+                    self.notes.push(Note { at, node: self.node, topic, value: lost as f32 });
+                }
+                let wrote = self.write();
+                let bytes = self.failing(wrote, "a block could not be written");
+                if bytes.is_none() {
+                    // What was to be told as lost is lost again.
+                    self.keeper.lost(lost);
+                }
+                self.keeper.wrote(now, bytes);
+                self.rows.clear();
+                self.notes.clear();
+            }
+            Act::Seal => {
+                let Some((name, out)) = self.out.take() else { return };
+                let bytes = out.len();
+                let sealed = out.seal().map(|_| bytes);
+                let well = self.failing(sealed, "a file could not be sealed").is_some();
+                self.keeper.closed(now, Lying { name, bytes }, well);
+            }
+            Act::Abandon => {
+                let (name, bytes) =
+                    self.out.take().map_or((String::new(), 0), |(name, out)| (name, out.len()));
+                self.keeper.closed(now, Lying { name, bytes }, true);
+            }
+            Act::Remove(name) => {
+                let removed = self.place.remove(&name).or_else(|e| match e.kind() {
+                    io::ErrorKind::NotFound => Ok(()),
+                    _ => Err(e),
+                });
+                self.failing(removed, "an old file could not be deleted");
+                self.keeper.removed();
+            }
+        }
+    }
+
+    fn open(&mut self, now: f64) -> io::Result<u64> {
+        self.serial += 1;
+        let name = format!("{}-{:010}-{:04}.trace", self.told.node, now as u64, self.serial);
+        let out = self.place.create(&name)?;
+        let meta = Meta { node: self.told.node.clone(), made: (now * 1e6) as i64 };
+        let writer = Writer::new(out, &meta)?;
+        let len = writer.len();
+        self.out = Some((name, writer));
+        Ok(len)
+    }
+
+    fn write(&mut self) -> io::Result<u64> {
+        let Some((_, out)) = &mut self.out else { return Err(io::Error::other("no file is open")) };
+        if !self.rows.is_empty() {
+            out.block(&file::pack_rows(&self.names, &mut self.rows))?;
+        }
+        if !self.notes.is_empty() {
+            out.block(&file::pack_notes(&self.names, &mut self.notes))?;
+        }
+        out.flush()?;
+        Ok(out.len())
+    }
+
+    /// Says what failed, once for each time that it began to fail.
+    fn failing<T>(&mut self, result: io::Result<T>, what: &str) -> Option<T> {
+        result
+            .map_err(|e| {
+                if self.keeper.failures() == 0 {
+                    (self.complain)(&format!("trace: {what}: {e}"));
+                }
+            })
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/trace/src/row.rs
@@ -0,0 +1,350 @@
+//! What a trace tells: txns as rows, the state beside them as notes, and the names both use.
+
+use puffinladder::{Outcome, Reason};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+
+/// One thing that happened to a txn. The codes stand in files: they are never given a second meaning, and one
+/// that a reader does not know is kept as [`Step::OTHER`] would be shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Step(pub u8);
+
+impl Step {
+    pub const RUN: Step = Step(1);
+    pub const PAUSED: Step = Step(2);
+    pub const RESUMED: Step = Step(3);
+    pub const AT_CALL: Step = Step(4);
+    pub const CALL: Step = Step(5);
+    pub const CALL_AGAIN: Step = Step(6);
+    pub const CALL_SKIPPED: Step = Step(7);
+    pub const REPLAYED: Step = Step(8);
+    pub const GONE: Step = Step(9);
+    const RETURNED: u8 = 10;
+    const ENDED: u8 = 20;
+    /// Settled within its SLA time, and after it.
+    pub const SETTLED: Step = Step(30);
+    pub const SETTLED_LATE: Step = Step(31);
+    const DECLINED: u8 = 32;
+    const VOIDED: u8 = 48;
+    /// Steps were left out here, since there were too many.
+    pub const MORE: Step = Step(64);
+
+    pub fn returned(outcome: Outcome) -> Step {
+        Step(Step::RETURNED + outcome_code(outcome))
+    }
+    pub fn ended(outcome: Outcome) -> Step {
+        Step(Step::ENDED + outcome_code(outcome))
+    }
+    pub fn declined(reason: Reason) -> Step {
+        Step(Step::DECLINED + reason.code())
+    }
+    pub fn voided(reason: Reason) -> Step {
+        Step(Step::VOIDED + reason.code())
+    }
+
+    pub fn is_returned(self) -> bool {
+        (Step::RETURNED..Step::ENDED).contains(&self.0)
+    }
+    pub fn is_ended(self) -> bool {
+        (Step::ENDED..Step::SETTLED.0).contains(&self.0)
+    }
+    pub fn is_settled(self) -> bool {
+        self == Step::SETTLED || self == Step::SETTLED_LATE
+    }
+    pub fn is_declined(self) -> bool {
+        (Step::DECLINED..Step::VOIDED).contains(&self.0)
+    }
+    pub fn is_voided(self) -> bool {
+        (Step::VOIDED..Step::MORE.0).contains(&self.0)
+    }
+    /// Whether it says what became of the txn: its answer, or that nobody waits for one.
+    pub fn is_final(self) -> bool {
+        self.is_settled() || self.is_declined() || self.is_voided()
+    }
+    /// Why, for what was declined or voided.
+    pub fn reason(self) -> Option<Reason> {
+        let base = if self.is_declined() { Step::DECLINED } else { Step::VOIDED };
+        if self.is_declined() || self.is_voided() {
+            Reason::from_code(self.0 - base)
+        } else {
+            None
+        }
+    }
+
+    /// How it is written: `declined (waited)`.
+    pub fn text(self) -> String {
+        let outcome = |base: u8| OUTCOMES.get(usize::from(self.0 - base)).map_or("other", |o| o.1);
+        match self {
+            Step::RUN => "run".into(),
+            Step::PAUSED => "paused".into(),
+            Step::RESUMED => "resumed".into(),
+            Step::AT_CALL => "at call".into(),
+            Step::CALL => "call".into(),
+            Step::CALL_AGAIN => "call again".into(),
+            Step::CALL_SKIPPED => "call skipped".into(),
+            Step::REPLAYED => "replayed".into(),
+            Step::GONE => "gone".into(),
+            Step::SETTLED => "settled".into(),
+            Step::SETTLED_LATE => "settled late".into(),
+            Step::MORE => "more".into(),
+            _ if self.is_returned() => format!("returned ({})", outcome(Step::RETURNED)),
+            _ if self.is_ended() => format!("ended ({})", outcome(Step::ENDED)),
+            _ if self.is_declined() => format!("declined ({})", self.reason().map_or("other", Reason::text)),
+            _ if self.is_voided() => format!("voided ({})", self.reason().map_or("other", Reason::text)),
+            Step(code) => format!("step {code}"),
+        }
+    }
+}
+
+const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Done, "done"),
+    (Outcome::Failed, "failed"),
+    (Outcome::Full, "full"),
+    (Outcome::TimedOut, "timed out"),
+    (Outcome::Unreachable, "unreachable"),
+    (Outcome::BrokenOff, "broken off"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::Moot, "moot"),
+];
+
+fn outcome_code(outcome: Outcome) -> u8 {
+    OUTCOMES.iter().position(|(o, _)| *o == outcome).unwrap_or(0) as u8
+}
+
+/// What became of a txn, as summaries count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fate(pub u8);
+
+impl Fate {
+    /// It left without an answer: gone, or the trace ends before it.
+    pub const GONE: Fate = Fate(Step::GONE.0);
+
+    pub fn step(self) -> Step {
+        Step(self.0)
+    }
+    pub fn word(self) -> &'static str {
+        match self.step() {
+            step if step.is_settled() => "settled",
+            step if step.is_declined() => "declined",
+            step if step.is_voided() => "voided",
+            _ => "gone",
+        }
+    }
+}
+
+/// The steps of a txn in their order. Few differ: thousands of txns share a path.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Path(pub Box<[u8]>);
+
+/// Steps that a path may have; what comes behind is left out.
+pub const MOST_STEPS: usize = 30;
+
+impl Path {
+    pub fn steps(&self) -> impl Iterator<Item = Step> + '_ {
+        self.0.iter().map(|code| Step(*code))
+    }
+    pub fn find(&self, like: impl Fn(Step) -> bool) -> Option<usize> {
+        self.steps().position(like)
+    }
+    pub fn fate(&self) -> Fate {
+        self.steps().find(|s| s.is_final()).map_or(Fate::GONE, |s| Fate(s.0))
+    }
+    /// The place of the step at which its wait ended: its run, its decline, or whatever it was answered by.
+    pub fn waited_till(&self) -> usize {
+        let end = |s: Step| s == Step::RUN || s == Step::GONE || s.is_final();
+        self.find(end).unwrap_or(self.0.len().saturating_sub(1))
+    }
+}
+
+/// A product's name and the terms it had.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Product {
+    pub name: String,
+    /// What one of its txns is worth, or one second of its work.
+    pub value: f64,
+    /// s
+    pub sla: f64,
+    pub expiry: f64,
+    pub by_work: bool,
+}
+
+/// Names seen so far, each with a number. Rows hold the numbers.
+#[derive(Default, Debug)]
+pub struct Names {
+    words: Vec<String>,
+    by_word: HashMap<String, u32>,
+    products: Vec<Product>,
+    paths: Vec<Path>,
+    by_path: HashMap<Path, u32>,
+}
+
+impl Names {
+    pub fn word(&mut self, word: &str) -> u32 {
+        if let Some(at) = self.by_word.get(word) {
+            return *at;
+        }
+        let at = self.words.len() as u32;
+        self.words.push(word.to_owned());
+        self.by_word.insert(word.to_owned(), at);
+        at
+    }
+    pub fn text(&self, word: u32) -> &str {
+        self.words.get(word as usize).map_or("?", String::as_str)
+    }
+    pub fn words(&self) -> &[String] {
+        &self.words
+    }
+
+    /// The same product with other terms is another one.
+    pub fn product(&mut self, product: &Product) -> u32 {
+        match self.products.iter().position(|known| known == product) {
+            Some(at) => at as u32,
+            None => {
+                self.products.push(product.clone());
+                self.products.len() as u32 - 1
+            }
+        }
+    }
+    pub fn products(&self) -> &[Product] {
+        &self.products
+    }
+    pub fn terms(&self, product: u32) -> &Product {
+        &self.products[product as usize]
+    }
+
+    pub fn path(&mut self, codes: &[u8]) -> u32 {
+        let path = Path(codes.into());
+        if let Some(at) = self.by_path.get(&path) {
+            return *at;
+        }
+        let at = self.paths.len() as u32;
+        self.paths.push(path.clone());
+        self.by_path.insert(path, at);
+        at
+    }
+    pub fn steps(&self, path: u32) -> &Path {
+        &self.paths[path as usize]
+    }
+    pub fn paths(&self) -> &[Path] {
+        &self.paths
+    }
+}
+
+/// Set in [`Row::flags`].
+pub const REPEAT: u8 = 1;
+/// The decline said to try nowhere else.
+pub const LAST: u8 = 2;
+
+/// One try of a txn, from its reading to the end of its run. Times are microseconds; sizes other than `read` are
+/// rounded as [`crate::codec::coarse`] does.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Row {
+    /// When it was read, by the node's Unix clock.
+    pub read: i64,
+    /// How long it had lain unread.
+    pub unread: u32,
+    pub node: u32,
+    pub product: u32,
+    pub customer: u32,
+    pub caller: u32,
+    /// In 256ths.
+    pub rank: u8,
+    /// us of core time that its gateway guessed, 0 for none.
+    pub hint: u32,
+    /// Bytes.
+    pub memory: u32,
+    pub flags: u8,
+    /// Keyed hash of the try's name.
+    pub name: u32,
+    /// Keyed hash of a referenced txn's key, 0 where there is none.
+    pub key: u64,
+    /// ms that a decline told its caller to keep off.
+    pub keep_off: u32,
+    pub path: u32,
+    /// From one step to the next, the first from `read`.
+    pub spans: SmallVec<[u32; 5]>,
+}
+
+impl Row {
+    pub fn repeat(&self) -> bool {
+        self.flags & REPEAT != 0
+    }
+    pub fn last(&self) -> bool {
+        self.flags & LAST != 0
+    }
+    /// us from its coming to the machine until it ran or was answered: what the mechanism judges.
+    pub fn wait(&self, path: &Path) -> u64 {
+        let held = self.spans.iter().take(path.waited_till() + 1).map(|s| u64::from(*s)).sum::<u64>();
+        u64::from(self.unread) + held
+    }
+    /// us from the run's beginning to its end, for what ran.
+    pub fn took(&self, path: &Path) -> Option<u64> {
+        let (from, to) = (path.find(|s| s == Step::RUN)?, path.find(Step::is_ended)?);
+        self.spans.get(from + 1..=to).map(|spans| spans.iter().map(|s| u64::from(*s)).sum())
+    }
+    /// us from its reading to its answer.
+    pub fn answered(&self, path: &Path) -> Option<u64> {
+        let at = path.find(Step::is_final)?;
+        self.spans.get(..=at).map(|spans| spans.iter().map(|s| u64::from(*s)).sum())
+    }
+    /// What it was worth when asked for.
+    pub fn value(&self, terms: &Product) -> f64 {
+        let work = if terms.by_work && self.hint > 0 { f64::from(self.hint) / 1e6 } else { 1.0 };
+        terms.value * work
+    }
+}
+
+/// What a note tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Topic(pub u8);
+
+impl Topic {
+    /// Runs allowed, calls kept open, the free value that rides on answers.
+    pub const LIMIT: Topic = Topic(1);
+    pub const CALLS: Topic = Topic(2);
+    pub const SIGNAL: Topic = Topic(3);
+    /// 1 while this server says that it is well.
+    pub const HEALTH: Topic = Topic(4);
+    /// s until the kill, at the notice to leave.
+    pub const LEAVE: Topic = Topic(5);
+    /// 1 where the addresses changed.
+    pub const RELOAD: Topic = Topic(6);
+    pub const BUSY: Topic = Topic(7);
+    pub const RUNNABLE: Topic = Topic(8);
+    pub const MEMORY: Topic = Topic(9);
+    pub const SOCKETS: Topic = Topic(10);
+    /// Records lost here since the last note of it: the writer could not keep up, or the disk failed.
+    pub const DROPPED: Topic = Topic(11);
+    /// 1 when the node began to record, 0 when it sealed its file.
+    pub const RECORDING: Topic = Topic(12);
+
+    const TEXTS: [&'static str; 13] = [
+        "?",
+        "limit",
+        "calls",
+        "signal",
+        "health",
+        "leave",
+        "reload",
+        "busy",
+        "runnable",
+        "memory",
+        "sockets",
+        "dropped",
+        "recording",
+    ];
+
+    pub fn text(self) -> &'static str {
+        Topic::TEXTS.get(usize::from(self.0)).copied().unwrap_or("?")
+    }
+}
+
+/// The state beside the txns, told when it changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Note {
+    /// us, by the node's Unix clock.
+    pub at: i64,
+    pub node: u32,
+    pub topic: Topic,
+    pub value: f32,
+}
--- /dev/null
+++ b/crates/trace/src/summary.rs
@@ -0,0 +1,204 @@
+//! Sums over a trace: what was asked, what was settled within its SLA time, by whatever one asks for.
+
+use crate::block::Head;
+use crate::row::{Names, Row, Step};
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+
+/// By what a summary is split.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum By {
+    Product,
+    Customer,
+    Caller,
+    /// What became of them, and why.
+    Reason,
+    Node,
+    Interval,
+}
+
+/// Counts and values of some rows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sums {
+    pub asked: u64,
+    pub settled: u64,
+    /// Of those, within the SLA time.
+    pub in_sla: u64,
+    pub declined: u64,
+    pub voided: u64,
+    pub gone: u64,
+    pub value_asked: f64,
+    pub value_in_sla: f64,
+}
+
+impl Sums {
+    pub fn add(&mut self, step: Step, count: u64, value: f64) {
+        self.asked += count;
+        self.value_asked += value;
+        if step == Step::SETTLED {
+            self.in_sla += count;
+            self.value_in_sla += value;
+        }
+        *if step.is_settled() {
+            &mut self.settled
+        } else if step.is_declined() {
+            &mut self.declined
+        } else if step.is_voided() {
+            &mut self.voided
+        } else {
+            &mut self.gone
+        } += count;
+    }
+    /// Share of the value asked for that was settled within the SLA time.
+    pub fn kept(&self) -> f64 {
+        if self.value_asked > 0.0 {
+            self.value_in_sla / self.value_asked
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Times, us.
+#[derive(Clone, Debug)]
+pub struct Times(pub Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Times {
+        // Three digits up to 72 minutes, as rows have them.
+        Times(Histogram::new_with_bounds(1, u64::from(u32::MAX), 3).expect("bounds that hold"))
+    }
+}
+
+impl Times {
+    pub fn add(&mut self, value: u64) {
+        self.0.saturating_record(value.max(1));
+    }
+    pub fn at(&self, percentile: f64) -> u64 {
+        if self.0.is_empty() {
+            0
+        } else {
+            self.0.value_at_percentile(percentile)
+        }
+    }
+}
+
+/// A summary in the making.
+#[derive(Debug, Default)]
+pub struct Summary {
+    pub total: Sums,
+    pub parts: BTreeMap<String, Sums>,
+    pub waits: Times,
+    pub runs: Times,
+    /// us of the first and the last row.
+    pub span: Option<(i64, i64)>,
+    by: Option<By>,
+    interval: i64,
+    begin: i64,
+    /// Parts by the number that a row has, to name each only once.
+    numbered: BTreeMap<u64, Sums>,
+}
+
+/// Parts that a summary keeps; callers beyond them are taken together.
+const MOST_PARTS: usize = 100_000;
+
+impl Summary {
+    /// `begin` is when the trace begins, us: intervals count from there.
+    pub fn new(by: Option<By>, interval: i64, begin: i64) -> Summary {
+        Summary { by, interval: interval.max(1), begin, ..Summary::default() }
+    }
+
+    fn see(&mut self, from: i64, to: i64) {
+        let (first, last) = self.span.unwrap_or((from, to));
+        self.span = Some((first.min(from), last.max(to)));
+    }
+
+    /// The part to which a time belongs.
+    fn slot(&self, at: i64) -> i64 {
+        (at - self.begin).div_euclid(self.interval)
+    }
+
+    /// Whether the head of a block tells all that is asked, percentiles aside.
+    pub fn fits(&self, head: &Head) -> bool {
+        match self.by {
+            None | Some(By::Product | By::Customer | By::Reason) => true,
+            Some(By::Interval) => self.slot(head.from) == self.slot(head.to),
+            Some(By::Node) => head.nodes.len() == 1,
+            Some(By::Caller) => false,
+        }
+    }
+
+    /// Adds a whole block by its head.
+    pub fn block(&mut self, head: &Head) {
+        self.see(head.from, head.to);
+        for group in &head.groups {
+            let step = group.fate.step();
+            self.total.add(step, group.count, group.value);
+            let part = match self.by {
+                None => continue,
+                Some(By::Product) => group.product.into(),
+                Some(By::Customer) => group.customer.into(),
+                Some(By::Reason) => group.fate.0.into(),
+                Some(By::Interval) => self.slot(head.from) as u64,
+                Some(By::Node) => head.nodes.first().copied().unwrap_or(0).into(),
+                Some(By::Caller) => u64::MAX,
+            };
+            self.numbered.entry(part).or_default().add(step, group.count, group.value);
+        }
+    }
+
+    pub fn row(&mut self, row: &Row, names: &Names) {
+        self.see(row.read, row.read);
+        let path = names.steps(row.path);
+        let (step, value) = (path.fate().step(), row.value(names.terms(row.product)));
+        self.total.add(step, 1, value);
+        self.times(row, names);
+        let part = match self.by {
+            None => return,
+            Some(By::Product) => row.product.into(),
+            Some(By::Customer) => row.customer.into(),
+            Some(By::Caller) if self.numbered.len() >= MOST_PARTS => u64::MAX,
+            Some(By::Caller) => row.caller.into(),
+            Some(By::Reason) => step.0.into(),
+            Some(By::Node) => row.node.into(),
+            Some(By::Interval) => self.slot(row.read) as u64,
+        };
+        self.numbered.entry(part).or_default().add(step, 1, value);
+    }
+
+    /// Adds to the percentiles alone.
+    pub fn times(&mut self, row: &Row, names: &Names) {
+        let path = names.steps(row.path);
+        self.waits.add(row.wait(path));
+        if let Some(took) = row.took(path) {
+            self.runs.add(took);
+        }
+    }
+
+    /// Gives the parts their names, once all is added.
+    pub fn finish(mut self, names: &Names) -> Summary {
+        for (part, sums) in std::mem::take(&mut self.numbered) {
+            let name = match self.by {
+                Some(By::Product) => names.terms(part as u32).name.clone(),
+                Some(By::Customer | By::Node) => names.text(part as u32).to_owned(),
+                Some(By::Caller) if part == u64::MAX => "others".into(),
+                Some(By::Caller) => part.to_string(),
+                Some(By::Reason) => Step(part as u8).text(),
+                Some(By::Interval) => format!("{:>9.0}s", (part as i64 * self.interval) as f64 / 1e6),
+                None => continue,
+            };
+            let all = self.parts.entry(name).or_default();
+            *all = Sums {
+                asked: all.asked + sums.asked,
+                settled: all.settled + sums.settled,
+                in_sla: all.in_sla + sums.in_sla,
+                declined: all.declined + sums.declined,
+                voided: all.voided + sums.voided,
+                gone: all.gone + sums.gone,
+                value_asked: all.value_asked + sums.value_asked,
+                value_in_sla: all.value_in_sla + sums.value_in_sla,
+            };
+        }
+        self
+    }
+}
--- /dev/null
+++ b/crates/trace/src/synth.rs
@@ -0,0 +1,224 @@
+//! Made-up traces, the same for the same seed: a day's traffic with a rush in it, during which txns are declined,
+//! repeats come and calls below go wrong.
+
+use crate::row::*;
+use puffinladder::{Outcome, Reason};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, LogNormal, Zipf};
+
+/// What a made-up trace is like.
+#[derive(Clone, Debug)]
+pub struct Synth {
+    pub seed: u64,
+    /// s
+    pub span: f64,
+    /// Txns a second, in the mean.
+    pub rate: f64,
+    pub node: String,
+    /// us, of the first txn.
+    pub from: i64,
+    pub customers: usize,
+    pub callers: u32,
+    /// Share of the time that is a rush.
+    pub rush: f64,
+}
+
+impl Default for Synth {
+    fn default() -> Synth {
+        Synth {
+            seed: 1,
+            span: 3600.0,
+            rate: 230.0,
+            node: "n1".into(),
+            from: 1_767_225_600_000_000,
+            customers: 24,
+            callers: 40,
+            rush: 0.2,
+        }
+    }
+}
+
+/// Of each product: name, value, SLA time, expiry, share of the txns, core time, whether it has keys, calls.
+type Line = (&'static str, f64, f64, f64, f64, f64, bool, bool);
+
+const PRODUCTS: [Line; 4] = [
+    ("bid-submit", 3.0, 0.4, 2.0, 0.22, 0.012, true, true),
+    ("bid-status", 1.0, 0.3, 1.5, 0.48, 0.003, false, false),
+    ("catalogue", 1.0, 0.8, 4.0, 0.24, 0.008, false, true),
+    ("report", 0.5, 4.0, 20.0, 0.06, 0.045, false, false),
+];
+
+/// Seconds from one rush to the next.
+const RUSH_EVERY: f64 = 300.0;
+
+/// Gives one record after the other.
+pub struct Maker {
+    told: Synth,
+    rng: ChaCha8Rng,
+    at: f64,
+    products: Vec<u32>,
+    customers: Vec<u32>,
+    node: u32,
+    /// Keys of late, which come again in a rush.
+    keys: Vec<u64>,
+    limit: f32,
+    noted: f64,
+}
+
+/// What a trace is made of.
+pub enum Record {
+    Row(Row),
+    Note(Note),
+}
+
+impl Maker {
+    pub fn new(told: &Synth, names: &mut Names) -> Maker {
+        let product = |p: &Line, names: &mut Names| {
+            names.product(&Product { name: p.0.into(), value: p.1, sla: p.2, expiry: p.3, by_work: false })
+        };
+        Maker {
+            rng: ChaCha8Rng::seed_from_u64(told.seed),
+            at: 0.0,
+            products: PRODUCTS.iter().map(|p| product(p, names)).collect(),
+            customers: (0..told.customers.max(1)).map(|at| names.word(&format!("k{at:03}"))).collect(),
+            node: names.word(&told.node),
+            keys: Vec::new(),
+            limit: 4.0,
+            noted: 0.0,
+            told: told.clone(),
+        }
+    }
+
+    /// The next record, until the span is over.
+    pub fn next(&mut self, names: &mut Names) -> Option<Record> {
+        // From a third of the way to the next, so that a minute's file has calm and rush as well.
+        let phase = (self.at / RUSH_EVERY + 0.67).fract();
+        let rush = phase > 1.0 - self.told.rush;
+        if self.at - self.noted > 1.0 {
+            self.noted = self.at;
+            let limit = if rush { self.rng.random_range(6..10) } else { 4 } as f32;
+            if limit != self.limit {
+                self.limit = limit;
+                let at = self.told.from + (self.at * 1e6) as i64;
+                return Some(Record::Note(Note { at, node: self.node, topic: Topic::LIMIT, value: limit }));
+            }
+        }
+        let calm = 1.0 / (1.0 + 0.6 * self.told.rush);
+        let rate = self.told.rate * calm * if rush { 1.6 } else { 1.0 };
+        let gap: f64 = Exp1.sample(&mut self.rng);
+        self.at += gap / rate;
+        if self.at >= self.told.span {
+            return None;
+        }
+        Some(Record::Row(self.row(names, rush)))
+    }
+
+    /// us, drawn round a median of seconds.
+    fn draw(&mut self, median: f64, spread: f64) -> u32 {
+        let drawn = LogNormal::new((median * 1e6).ln(), spread).map_or(0.0, |d| d.sample(&mut self.rng));
+        drawn.clamp(1.0, 4e9) as u32
+    }
+
+    fn row(&mut self, names: &mut Names, rush: bool) -> Row {
+        let mut pick = self.rng.random::<f64>();
+        let which = PRODUCTS.iter().position(|p| {
+            pick -= p.4;
+            pick < 0.0
+        });
+        let which = which.unwrap_or(1);
+        let (_, _, sla, expiry, _, work, keyed, calls) = PRODUCTS[which];
+        let customer = Zipf::new(self.customers.len() as f64, 1.1).map_or(1.0, |z| z.sample(&mut self.rng));
+        let repeat = self.rng.random_bool(if rush { 0.22 } else { 0.01 });
+        let mut row = Row {
+            read: self.told.from + (self.at * 1e6) as i64,
+            unread: self.draw(if rush { 0.006 } else { 0.0004 }, 0.8),
+            node: self.node,
+            product: self.products[which],
+            customer: self.customers[(customer as usize).clamp(1, self.customers.len()) - 1],
+            caller: self.rng.random_range(0..self.told.callers.max(1)),
+            rank: self.rng.random(),
+            hint: self.draw(work, 0.5),
+            memory: 512 * self.rng.random_range(4..64u32),
+            flags: if repeat { REPEAT } else { 0 },
+            name: self.rng.random(),
+            ..Row::default()
+        };
+        if keyed {
+            row.key = match self.keys.len() {
+                0 => 0,
+                known if repeat => self.keys[self.rng.random_range(0..known)],
+                _ => 0,
+            };
+            if row.key == 0 {
+                row.key = self.rng.random::<u64>() | 1;
+                if self.keys.len() >= 64 {
+                    let at = self.rng.random_range(0..64);
+                    self.keys.swap_remove(at);
+                }
+                self.keys.push(row.key);
+            }
+        }
+        self.life(names, &mut row, sla, expiry, calls && self.rng.clone().random_bool(0.5), rush);
+        row
+    }
+
+    fn life(&mut self, names: &mut Names, row: &mut Row, sla: f64, expiry: f64, calls: bool, rush: bool) {
+        let mut steps = Vec::new();
+        let mut step = |row: &mut Row, step: Step, span: u32| {
+            steps.push(step.0);
+            row.spans.push(span);
+        };
+        let hint = f64::from(row.hint) / 1e6;
+        let wait = self.draw(if rush { 0.05 } else { 0.0006 }, 1.1);
+        let threshold = expiry * if row.repeat() { 0.04 } else { 0.12 };
+        let chance = self.rng.random::<f64>();
+        if rush && f64::from(wait) / 1e6 > threshold {
+            let reason = if chance < 0.8 { Reason::Waited } else { Reason::NoTime };
+            let over = self.draw(0.008, 0.7);
+            step(row, Step::declined(reason), (threshold * 1e6) as u32 + over);
+            row.keep_off = self.rng.random_range(1..500);
+            row.flags |= if self.rng.random_bool(0.4) { LAST } else { 0 };
+        } else if chance < 0.0006 {
+            step(row, Step::declined(Reason::Memory), wait);
+        } else if chance < 0.0012 {
+            step(row, Step::voided(Reason::NameTaken), 20);
+        } else if row.key != 0 && row.repeat() {
+            step(row, Step::REPLAYED, 40);
+            let till = self.draw(0.004, 1.0);
+            step(row, Step::SETTLED, till);
+        } else if chance < 0.003 {
+            step(row, Step::GONE, wait);
+        } else {
+            step(row, Step::RUN, wait);
+            let slow = if rush { 1.5 } else { 1.0 };
+            let mut run = self.draw(hint * slow, 0.25);
+            if calls {
+                step(row, Step::AT_CALL, run / 2);
+                run /= 2;
+                let opened = self.draw(0.00005, 0.5);
+                step(row, Step::CALL, opened);
+                let away = self.draw(0.006, 0.5);
+                if rush && chance < 0.05 {
+                    step(row, Step::returned(Outcome::TimedOut), away * 4);
+                    step(row, Step::CALL_SKIPPED, 15);
+                } else {
+                    step(row, Step::returned(Outcome::Done), away);
+                }
+            }
+            if chance > 0.9985 {
+                step(row, Step::ended(Outcome::Failed), run);
+                step(row, Step::voided(Reason::RunFailed), 10);
+            } else if chance > 0.998 {
+                step(row, Step::voided(Reason::Due), (expiry * 1e6) as u32);
+                step(row, Step::ended(Outcome::Done), run);
+            } else {
+                step(row, Step::ended(Outcome::Done), run);
+                let late = row.spans.iter().map(|s| f64::from(*s) / 1e6).sum::<f64>() > sla;
+                let told = self.draw(0.00002, 0.4);
+                step(row, if late { Step::SETTLED_LATE } else { Step::SETTLED }, told);
+            }
+        }
+        row.path = names.path(&steps);
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -176,7 +176,7 @@
     said: f64,
     longest: f64,
     noted: f64,
-    sheds: BTreeMap<(usize, &'static str), u32>,
+    sheds: BTreeMap<(usize, Reason), u32>,
     running: usize,
     calling: usize,
     used: f64,
@@ -280,7 +280,7 @@
         }
         self.hold.push(at);
         if self.leave.is_some_and(|(last, _)| arrived > last - MARGIN) {
-            return self.decline(at, "leaving", out);
+            return self.decline(at, Reason::Leaving, out);
         }
         let keys = (self.keys.len() + 1) as f64 * self.told.key_memory;
         let room =
@@ -292,7 +292,7 @@
             self.used += self.told.key_memory;
         } else if referenced {
             // Without the memory of its key a repeat could run: it must not run here at all.
-            self.decline(at, "no key room", out);
+            self.decline(at, Reason::NoKeyRoom, out);
         }
     }
 
@@ -386,7 +386,7 @@
             txn.stage = Stage::Running;
             (txn.begun, txn.skipped) = (txn.begun + now - txn.at_call, true);
         } else {
-            out.void(txn.news.id);
+            out.void(txn.news.id, Reason::NoCall);
             txn.answered = true;
         }
     }
@@ -439,7 +439,7 @@
     }
 
     /// The mechanism: why a held txn is not to run, judged by how long it waited.
-    fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<&'static str> {
+    fn judge(&self, now: f64, txn: &Hand, wanted: bool) -> Option<Reason> {
         let tp = &self.products[txn.news.product];
         let due = txn.due - MARGIN;
         // A late answer is worth something to its caller while no one else wants the slot.
@@ -448,10 +448,10 @@
         let limit = if self.going > GOING { limit.min(txn.arrived + self.patience) } else { limit };
         let takes = tp.takes.max(tp.base * self.drag) * self.weight(txn) + tp.away;
         if now + takes > limit {
-            return Some("no time");
+            return Some(Reason::NoTime);
         }
         let threshold = if txn.news.repeat { WAIT_REPEAT * tp.told.expiry } else { tp.wait };
-        (now - txn.arrived > threshold).then_some("waited")
+        (now - txn.arrived > threshold).then_some(Reason::Waited)
     }
 
     /// Gives freed slots to the best of those who have not waited too long.
@@ -521,11 +521,12 @@
         let step = if gauges.sockets.unwrap_or(0.0) > self.sockets { -KEEP_STEP } else { KEEP_STEP };
         self.keep = (self.keep * (1.0 + step)).clamp(STEP.min(self.told.idle), self.told.idle);
         out.keepalive(self.keep);
+        out.limits(self.limit, self.window);
         self.longest = 0.0;
         if now - self.noted > NOTE && !self.sheds.is_empty() {
             self.noted = now;
             let sheds = std::mem::take(&mut self.sheds).into_iter();
-            let text: String = sheds.map(|((p, r), n)| format!(" product {p} {r} {n},")).collect();
+            let text: String = sheds.map(|((p, r), n)| format!(" product {p} {} {n},", r.text())).collect();
             out.note(&format!("declined:{text} limit {:.1}, calls {:.1}", self.limit, self.window));
         }
     }
@@ -579,7 +580,7 @@
                 continue;
             };
             if now >= txn.due - MARGIN {
-                out.void(txn.news.id);
+                out.void(txn.news.id, Reason::Due);
                 txn.answered = true;
                 if txn.stage == Stage::Running && self.halts {
                     out.pause(txn.news.id);
@@ -603,20 +604,20 @@
         while self.used > RAM_HOLD * self.told.ram {
             let ranks = self.hold.iter().map(|&at| (at, self.rank(at)));
             let Some((at, _)) = ranks.min_by(|a, b| order(a.1, b.1)) else { return };
-            self.decline(at, "memory", out);
+            self.decline(at, Reason::Memory, out);
         }
     }
 
     /// Turns a held txn away, which never ran here, with advice to keep off.
-    fn decline(&mut self, at: usize, reason: &'static str, out: &mut impl Writer) {
+    fn decline(&mut self, at: usize, reason: Reason, out: &mut impl Writer) {
         let txn = self.drop_hand(at, out);
         // Where further tries are frequent the others are full too: walking on would only cost reading.
-        let last = reason != "leaving" && (txn.news.repeat || self.repeats > WALKING);
+        let last = reason != Reason::Leaving && (txn.news.repeat || self.repeats > WALKING);
         let sound = self.stretch.max(self.drag) < SOUND && self.leave.is_none();
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         // Where callers are few each brings much: kept off for long they would leave the cores idle in turns.
         let keep_off = keep_off.min(KEEP_TXNS * self.callers / self.finished.max(STEP));
-        out.decline(txn.news.id, keep_off, last);
+        out.decline(txn.news.id, keep_off, last, reason);
         *self.sheds.entry((txn.news.product, reason)).or_default() += 1;
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -226,6 +226,71 @@
     }
 }
 
+/// Why a txn was declined or voided, whoever decided it: logs, traces and answers tell the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Reason {
+    /// Held past its threshold.
+    Waited,
+    /// It could not finish in the time left.
+    NoTime,
+    /// The hold was cut to stay in memory.
+    Memory,
+    /// A referenced txn whose key could not be remembered.
+    NoKeyRoom,
+    /// It came after the drain's grace.
+    Leaving,
+    /// It was due.
+    Due,
+    /// A call that it can't do without could not be had.
+    NoCall,
+    // From here on the host's own: the module never hears of these txns, or not of their ends.
+    /// The process has no room for one more.
+    ProcessFull,
+    /// Its run failed.
+    RunFailed,
+    /// The try that holds its key failed, or left no result.
+    Forerunner,
+    /// One of its name is in hand.
+    NameTaken,
+    /// Its key belongs to other content.
+    KeyTaken,
+    /// Its life in the host broke off.
+    Lost,
+}
+
+impl Reason {
+    const ALL: [(Reason, &'static str); 13] = [
+        (Reason::Waited, "waited"),
+        (Reason::NoTime, "no time"),
+        (Reason::Memory, "memory"),
+        (Reason::NoKeyRoom, "no key room"),
+        (Reason::Leaving, "leaving"),
+        (Reason::Due, "due"),
+        (Reason::NoCall, "no call"),
+        (Reason::ProcessFull, "process full"),
+        (Reason::RunFailed, "run failed"),
+        (Reason::Forerunner, "forerunner failed"),
+        (Reason::NameTaken, "name taken"),
+        (Reason::KeyTaken, "key taken"),
+        (Reason::Lost, "lost"),
+    ];
+
+    /// As logs and traces write it.
+    pub fn text(self) -> &'static str {
+        Reason::ALL[self as usize].1
+    }
+    /// Under 16; it stands in files and never changes its meaning.
+    pub fn code(self) -> u8 {
+        self as u8
+    }
+    pub fn from_code(code: u8) -> Option<Reason> {
+        Reason::ALL.get(usize::from(code)).map(|known| known.0)
+    }
+    pub fn all() -> impl Iterator<Item = Reason> {
+        Reason::ALL.into_iter().map(|known| known.0)
+    }
+}
+
 /// The end of a call below, or of a run, and how long it took.
 #[derive(Clone, Copy, Debug)]
 pub struct End {
@@ -306,9 +371,9 @@
     /// Give a held txn to the cores.
     fn run(&mut self, id: u32);
     /// End a txn undone; `retry_after` is advice to keep off (0 for none), `last` says to try nowhere else.
-    fn decline(&mut self, id: u32, retry_after: f64, last: bool);
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool, reason: Reason);
     /// End a txn as failed. A run goes on, answerless, until it ends, reaches a call or is paused.
-    fn void(&mut self, id: u32);
+    fn void(&mut self, id: u32, reason: Reason);
     /// Take a run off the cores, as `Charter::halt` allows.
     fn pause(&mut self, id: u32);
     /// Let a txn at a call go on with it, for `limit` at most.
@@ -325,6 +390,8 @@
     fn keepalive(&mut self, span: f64);
     /// Ask for a round with gauges after this time.
     fn wake(&mut self, after: f64);
+    /// Runs allowed on the cores and calls kept open, told at each step; for whoever keeps a record.
+    fn limits(&mut self, _runs: f64, _calls: f64) {}
     /// A line for the operators; rare.
     fn note(&mut self, text: &str);
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -19,10 +19,10 @@
     fn run(&mut self, id: u32) {
         self.0.push(format!("run {id}"));
     }
-    fn decline(&mut self, id: u32, retry_after: f64, last: bool) {
+    fn decline(&mut self, id: u32, retry_after: f64, last: bool, _reason: Reason) {
         self.0.push(format!("decline {id} {retry_after} {last}"));
     }
-    fn void(&mut self, id: u32) {
+    fn void(&mut self, id: u32, _reason: Reason) {
         self.0.push(format!("void {id}"));
     }
     fn pause(&mut self, id: u32) {
