--- /dev/null
+++ b/crates/server/tests/trace.rs
@@ -0,0 +1,228 @@
+//! Stories of a server that keeps a trace: what its file tells is what its gateways heard.
+
+use puffinladder_toy::gateway::{now, Gateway};
+use puffinladder_toy::town::Town;
+use puffinladder_trace::anonymise::parse_key;
+use puffinladder_trace::file::Kind;
+use puffinladder_trace::recorder::{key_hash, keyed};
+use puffinladder_trace::row::{Names, Row, Topic};
+use puffinladder_trace::tools::{notes, Choice};
+use puffinladder_trace::Trace;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
+const HEX: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+const KEY: &str = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+/// A folder with settings that ask for a trace in it.
+fn settings(folder: &Path, more: &str) -> String {
+    let (key, file) = (folder.join("key"), folder.join("ours.scm"));
+    std::fs::write(&key, HEX).unwrap();
+    let (traces, key) = (folder.join("traces"), key.display());
+    let text = format!("(trace (folder \"{}\") (key-file \"{key}\") {more})", traces.display());
+    std::fs::write(&file, text).unwrap();
+    file.display().to_string()
+}
+
+fn town(settings: &str) -> Town {
+    let told = format!("PUFFINLADDER_SETTINGS={settings}");
+    Town::open(&["env", &told, SERVER], |_| {})
+}
+
+fn files(folder: &Path) -> Vec<PathBuf> {
+    let Ok(found) = std::fs::read_dir(folder.join("traces")) else { return Vec::new() };
+    let mut all: Vec<PathBuf> = found.map(|entry| entry.unwrap().path()).collect();
+    all.sort();
+    all
+}
+
+/// Rows of all files by the hash of their try's name, with the words of their steps.
+fn told(folder: &Path, names: &mut Names) -> BTreeMap<u32, (Row, Vec<String>)> {
+    let mut all = BTreeMap::new();
+    for path in files(folder) {
+        let Ok(mut trace) = Trace::open(File::open(path).unwrap()) else { continue };
+        let mut rows = Vec::new();
+        for entry in trace.entries.clone() {
+            trace.rows(&entry, names, &mut rows).unwrap();
+        }
+        for row in rows {
+            let steps = names.steps(row.path).steps().map(|step| step.text()).collect();
+            assert!(all.insert(row.name, (row, steps)).is_none(), "a try stands there twice");
+        }
+    }
+    all
+}
+
+fn hash(name: &str) -> u32 {
+    keyed(&parse_key(HEX).unwrap(), name.as_bytes()) as u32
+}
+
+#[test]
+fn a_drained_server_leaves_a_sealed_trace_that_tells_each_txn_and_why() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut town = town(&settings(folder.path(), "(block-span 0.2s)"));
+    let mut gateway = town.gateway();
+    let mut sent = BTreeMap::new();
+    let stale = format!(",s={}", now() - 5000);
+    for (class, more, body) in [
+        ("quote", "", "plain"),
+        ("quote", stale.as_str(), "too old"),
+        ("quote", "", "fail"),
+        ("quote", "", "call the store"),
+        ("order", KEY, "an order"),
+        ("order", KEY, "an order"),
+    ] {
+        let (tag, name) = gateway.call(class, more, body.as_bytes());
+        let answer = gateway.answer().unwrap();
+        assert_eq!(answer.tag, tag);
+        sent.insert(hash(&name), (answer, class));
+    }
+    let (tag, held) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &held);
+    gateway.cancel(tag);
+    town.agent.hears("freeze", &held);
+    let (_, open) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &open);
+    town.term();
+    assert!(town.end().success());
+
+    let mut names = Names::default();
+    let rows = told(folder.path(), &mut names);
+    assert_eq!(rows.len(), 8);
+    for (name, (answer, class)) in &sent {
+        let (row, steps) = &rows[name];
+        let word = match names.steps(row.path).fate().word() {
+            "settled" => "200",
+            "declined" => "503",
+            _ => "500",
+        };
+        assert_eq!(word, answer.word, "{steps:?}");
+        assert_eq!(&names.terms(row.product).name, class);
+        assert_eq!((names.text(row.customer), row.caller, names.text(row.node)), ("acme", 1, "toy-1"));
+        assert_eq!(
+            answer.fields.contains(&format!("w={}", row.keep_off)),
+            row.keep_off > 0,
+            "{}",
+            answer.fields
+        );
+        assert_eq!(row.key != 0, *class == "order");
+    }
+    let all: Vec<String> = rows.values().map(|(_, steps)| steps.join(", ")).collect();
+    for wanted in [
+        "run, ended (done), settled",
+        "declined (waited)",
+        "run, ended (failed), voided (run failed)",
+        "run, at call, call, returned (done), ended (done), settled",
+        "replayed, settled",
+        "run, gone, paused, ended (cancelled)",
+    ] {
+        assert!(all.iter().any(|steps| steps == wanted), "{wanted} is not in {all:?}");
+    }
+    // Still open at the kill: its answer went out before, and its page is closed all the same.
+    let steps = &rows[&hash(&open)].1;
+    assert_eq!(gateway.answer().unwrap().word, "500");
+    assert!(steps.join(", ").starts_with("run, voided (due)"), "{steps:?}");
+    let key = key_hash(&parse_key(HEX).unwrap(), &KEY.as_bytes()[3..]);
+    assert_eq!(rows.values().filter(|(row, _)| row.key == key).count(), 2);
+
+    let mut state = Vec::new();
+    for path in files(folder.path()) {
+        let mut trace = Trace::open(File::open(&path).unwrap()).unwrap();
+        assert!(trace.sealed && trace.damage.is_empty(), "{path:?}");
+        state.extend(notes(&mut trace, &mut names, &Choice::default(), &mut Vec::new()).unwrap());
+        // Neither name nor key of anything stands in it.
+        let bytes = std::fs::read(&path).unwrap();
+        assert!(!bytes.windows(16).any(|w| w == held.as_bytes() || w == &KEY.as_bytes()[3..19]));
+    }
+    for topic in [Topic::LIMIT, Topic::CALLS, Topic::HEALTH, Topic::LEAVE, Topic::BUSY, Topic::MEMORY] {
+        assert!(state.iter().any(|note| note.topic == topic), "nothing of {}", topic.text());
+    }
+}
+
+#[test]
+fn a_server_killed_under_load_leaves_a_trace_that_agrees_with_every_answer_it_tells_of() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut town = town(&settings(folder.path(), "(block-rows 64) (block-span 600s)"));
+    let server = town.server;
+    let load = move |id: usize| {
+        let mut gateway = Gateway::open(server);
+        let mut heard: Vec<(u32, String)> = Vec::new();
+        // Bounded: the kill comes long before.
+        for at in 0..100_000 {
+            let body = if at % 7 == id { "fail" } else { "quick" };
+            let Some((name, word)) = try_call(&mut gateway, body) else { break };
+            heard.push((hash(&name), word));
+        }
+        heard
+    };
+    let gateways: Vec<_> = (0..3).map(|id| std::thread::spawn(move || load(id))).collect();
+    let end = Instant::now() + Duration::from_secs(20);
+    let blocks = || {
+        let trace = files(folder.path()).first().and_then(|path| Trace::open(File::open(path).ok()?).ok());
+        trace.map_or(0, |trace| trace.count(Kind::Rows))
+    };
+    while blocks() < 256 {
+        assert!(Instant::now() < end, "no block is written");
+        std::thread::yield_now();
+    }
+    town.child.kill().unwrap();
+    town.end();
+    let heard: Vec<_> = gateways.into_iter().map(|thread| thread.join().unwrap()).collect();
+
+    let mut names = Names::default();
+    let rows = told(folder.path(), &mut names);
+    assert!(rows.len() >= 256, "{}", rows.len());
+    for gateway in &heard {
+        let mut missing = false;
+        for (name, word) in gateway {
+            match rows.get(name) {
+                Some((row, steps)) => {
+                    assert!(!missing, "a txn is missing that was answered before one that is there");
+                    let settled = names.steps(row.path).fate().word() == "settled";
+                    assert_eq!(settled, word == "200", "{word}: {steps:?}");
+                }
+                None => missing = true,
+            }
+        }
+    }
+}
+
+/// The name and the answer's word, until the connection ends.
+fn try_call(gateway: &mut Gateway, body: &str) -> Option<(String, String)> {
+    use std::panic::{catch_unwind, AssertUnwindSafe};
+    // Sending panics once the server is gone.
+    let (_, name) = catch_unwind(AssertUnwindSafe(|| gateway.call("quote", "", body.as_bytes()))).ok()?;
+    gateway.answer().map(|answer| (name, answer.word))
+}
+
+#[test]
+fn settings_that_are_wrong_end_the_start_with_every_fault_at_its_place() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("ours.scm");
+    std::fs::write(&file, "(trace\n  (block-rows 1)\n  (folder 5))").unwrap();
+    let config = folder.path().join("config.json");
+    std::fs::write(&config, puffinladder_toy::town::EXAMPLE).unwrap();
+    let out = Command::new(SERVER)
+        .env("PUFFINLADDER_SETTINGS", &file)
+        .env("BALANCER_CONFIG", &config)
+        .output()
+        .unwrap();
+    let said = String::from_utf8(out.stderr).unwrap();
+    assert_eq!(out.status.code(), Some(1), "{said}");
+    assert!(
+        said.contains("ours.scm:2:15: trace.block-rows: ") && said.contains("ours.scm:3:11: trace.folder: "),
+        "{said}"
+    );
+}
+
+#[test]
+fn help_is_help_and_an_unknown_flag_is_refused() {
+    let run = |flag: &str| Command::new(SERVER).arg(flag).output().unwrap();
+    let help = run("--help");
+    assert!(help.status.success() && String::from_utf8_lossy(&help.stdout).contains("BALANCER_CONFIG"));
+    assert_eq!(run("--hlep").status.code(), Some(2));
+}
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -106,19 +106,22 @@
     heads: BinaryHeap<Reverse<(i64, usize)>>,
     begun: bool,
     /// Rows of the present moment, by which doubled ones are known.
-    present: Vec<(usize, Row)>,
+    present: Vec<(usize, Try)>,
+    now: i64,
     pub met: Met,
 }
 
-/// The same try of the same node, whatever version wrote it.
-fn same(a: &Row, b: &Row) -> bool {
-    (a.node, a.name, a.key, a.caller, a.product) == (b.node, b.name, b.key, b.caller, b.product)
+/// By what a try of one moment is known again, whatever version wrote it: node, name, key, caller, product.
+type Try = (u32, u32, u64, u32, u32);
+
+fn known_by(row: &Row) -> Try {
+    (row.node, row.name, row.key, row.caller, row.product)
 }
 
 impl<R: Read + Seek> Merge<R> {
     pub fn new(feeds: Vec<Feed<R>>) -> Merge<R> {
         let (heads, present) = (BinaryHeap::new(), Vec::new());
-        Merge { feeds, heads, begun: false, present, met: Met::default() }
+        Merge { feeds, heads, begun: false, present, now: i64::MIN, met: Met::default() }
     }
 
     pub fn next(&mut self, names: &mut Names) -> Result<Option<Row>, Fault> {
@@ -143,14 +146,16 @@
                 }
             }
             if self.feeds.len() > 1 {
-                if self.present.first().is_some_and(|(_, first)| first.read != row.read) {
+                if self.now != row.read {
+                    self.now = row.read;
                     self.present.clear();
                 }
-                if self.present.iter().any(|(from, known)| *from != at && same(known, &row)) {
+                let own = known_by(&row);
+                if self.present.iter().any(|(from, known)| *from != at && *known == own) {
                     self.met.doubled += 1;
                     continue;
                 }
-                self.present.push((at, row.clone()));
+                self.present.push((at, own));
             }
             self.met.rows += 1;
             return Ok(Some(row));
--- a/crates/trace/src/row.rs
+++ b/crates/trace/src/row.rs
@@ -172,7 +172,7 @@
 }
 
 /// Names seen so far, each with a number. Rows hold the numbers.
-#[derive(Default, Debug)]
+#[derive(Clone, Default, Debug)]
 pub struct Names {
     words: Vec<String>,
     by_word: HashMap<String, u32>,
@@ -231,6 +231,11 @@
     pub fn paths(&self) -> &[Path] {
         &self.paths
     }
+
+    /// Grows with every new name: names of the same size are the same, since none is ever taken out.
+    pub fn size(&self) -> usize {
+        self.words.len() + self.products.len() + self.paths.len()
+    }
 }
 
 /// Set in [`Row::flags`].
--- a/crates/trace/src/tools.rs
+++ b/crates/trace/src/tools.rs
@@ -3,14 +3,17 @@
 
 use crate::anonymise::Veil;
 use crate::expr::{Expr, Judged};
-use crate::file::{Entry, Kind, Writer};
+use crate::file::{pack_rows, Entry, Kind, Packed, Writer};
 use crate::merge::{Blocks, Feed, Merge, Met};
 use crate::open::{Damage, Fault, Trace};
 use crate::row::{Names, Note, Row};
 use crate::summary::{By, Summary};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{Read, Seek, Write};
 use std::ops::ControlFlow;
+use std::sync::mpsc::{channel, sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::Scope;
 
 /// Rows of the blocks that tools write.
 pub const BLOCK_ROWS: usize = 16384;
@@ -204,6 +207,68 @@
     Ok(seen)
 }
 
+/// Rows to be packed, with their place in the order and their names.
+type Task = (u64, Vec<Row>, Arc<Names>);
+
+/// Threads that pack blocks, which come out in the order in which they were given.
+struct Packers {
+    tasks: Option<SyncSender<Task>>,
+    packed: Receiver<(u64, Packed)>,
+    early: BTreeMap<u64, Packed>,
+    given: u64,
+    taken: u64,
+    names: Arc<Names>,
+}
+
+impl Packers {
+    fn new<'s>(scope: &'s Scope<'s, '_>, workers: usize) -> Packers {
+        let (tasks, todo) = sync_channel::<Task>(workers);
+        let (done, packed) = channel();
+        let todo = Arc::new(Mutex::new(todo));
+        for _ in 0..workers {
+            let (todo, done) = (todo.clone(), done.clone());
+            scope.spawn(move || loop {
+                let task = todo.lock().unwrap_or_else(PoisonError::into_inner).recv();
+                let Ok((at, mut rows, names)) = task else { return };
+                if done.send((at, pack_rows(&names, &mut rows))).is_err() {
+                    return;
+                }
+            });
+        }
+        let (early, names) = (BTreeMap::new(), Arc::default());
+        Packers { tasks: Some(tasks), packed, early, given: 0, taken: 0, names }
+    }
+
+    /// Waits while all are busy, which bounds what is in memory.
+    fn pack(&mut self, names: &Names, rows: Vec<Row>) {
+        if self.names.size() != names.size() {
+            self.names = Arc::new(names.clone());
+        }
+        if let Some(tasks) = &self.tasks {
+            // The threads end only once nobody gives any more.
+            let _ = tasks.send((self.given, rows, self.names.clone()));
+            self.given += 1;
+        }
+    }
+
+    /// Gives out what is ready, or all that was given.
+    fn take(&mut self, all: bool, mut each: impl FnMut(&Packed) -> Result<(), Fault>) -> Result<(), Fault> {
+        if all {
+            self.tasks = None;
+        }
+        while self.taken < self.given {
+            let next = if all { self.packed.recv().ok() } else { self.packed.try_recv().ok() };
+            let Some((at, block)) = next else { return Ok(()) };
+            self.early.insert(at, block);
+            while let Some(block) = self.early.remove(&self.taken) {
+                self.taken += 1;
+                each(&block)?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Writes many traces as one, in the order of time. Each comes with what is put on its times, us.
 pub fn merge<R: Read + Seek, W: Write>(
     mut traces: Vec<(Trace<R>, i64)>,
@@ -233,17 +298,27 @@
     }
     let mut merge =
         Merge::new(traces.into_iter().map(|(trace, offset)| Feed::new(trace, offset)).collect::<Vec<_>>());
-    let mut done = 0u64;
-    while let Some(row) = merge.next(&mut names)? {
-        if let Some(block) = blocks.row(&names, row) {
-            out.block(&block)?;
-            done += BLOCK_ROWS as u64;
-            progress(done as usize, total as usize);
-        }
-    }
     for block in blocks.rest(&names) {
         out.block(&block)?;
     }
+    let workers = std::thread::available_parallelism().map_or(1, |n| n.get().saturating_sub(1)).clamp(1, 4);
+    std::thread::scope(|scope| -> Result<(), Fault> {
+        let mut packers = Packers::new(scope, workers);
+        let (mut rows, mut sent) = (Vec::with_capacity(BLOCK_ROWS), 0);
+        while let Some(row) = merge.next(&mut names)? {
+            rows.push(row);
+            if rows.len() == BLOCK_ROWS {
+                sent += BLOCK_ROWS;
+                packers.pack(&names, std::mem::replace(&mut rows, Vec::with_capacity(BLOCK_ROWS)));
+                packers.take(false, |block| Ok(out.block(block)?))?;
+                progress(sent.min(total as usize), total as usize);
+            }
+        }
+        if !rows.is_empty() {
+            packers.pack(&names, rows);
+        }
+        packers.take(true, |block| Ok(out.block(block)?))
+    })?;
     progress(total as usize, total as usize);
     damage.extend(std::mem::take(&mut merge.met.damage));
     Ok(Met { damage, ..merge.met })
--- a/examples/toy/src/main.rs
+++ b/examples/toy/src/main.rs
@@ -25,16 +25,17 @@
     println!("the roster lists {}", at("name"));
     let key = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
     let txns = [
-        ("quote", "", "a plain quote"),
-        ("quote", "", "call a quote that calls the store"),
-        ("order", key, "an order"),
-        ("order", key, "the same order again, settled from the first one's result"),
-        ("quote", "", "fail"),
+        ("quote", "", "a plain quote", ""),
+        ("quote", "", "call a quote that calls the store", ""),
+        ("order", key, "an order", ""),
+        ("order", key, "an order", ", the same again: settled from the first one's result"),
+        ("order", key, "another order", ", under the first one's key: voided"),
+        ("quote", "", "fail", ""),
     ];
-    for (class, more, body) in txns {
+    for (class, more, body, what) in txns {
         let (tag, _) = gateway.call(class, more, body.as_bytes());
         let answer = gateway.answer().expect("an answer");
         let text = String::from_utf8_lossy(&answer.body).into_owned();
-        println!("txn {tag}, {class} \"{body}\": {} {} \"{text}\"", answer.word, answer.fields);
+        println!("txn {tag}, {class} \"{body}\"{what}: {} {} \"{text}\"", answer.word, answer.fields);
     }
 }
