--- a/crates/server/examples/trace_cost.rs
+++ b/crates/server/examples/trace_cost.rs
@@ -49,7 +49,8 @@
     let quiet = "RUST_LOG=info,may=warn";
     let off = Town::open(&["env", quiet, &program], |_| {});
     let on = Town::open(&["env", quiet, &told, &program], |_| {});
-    (round(&off), round(&on));
+    round(&off);
+    round(&on);
     let mut all: Vec<(f64, f64)> = (0..ROUNDS).map(|_| (round(&off), round(&on))).collect();
     let median = |mut values: Vec<f64>| {
         values.sort_by(f64::total_cmp);
