--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,9 @@
 //! [`view`], [`plan`], [`shed`], [`stream`] and [`core`] decide and do no I/O; the rest carries out.
 #![forbid(unsafe_code)]
 
+pub mod core;
 pub mod plan;
+pub mod resources;
 pub mod shed;
+pub mod stream;
 pub mod view;
