--- a/crates/charter/src/settings.rs
+++ b/crates/charter/src/settings.rs
@@ -1,8 +1,9 @@
 //! Our own settings: all that the platform does not tell a server. Without a file everything here is off, and the
 //! log is as it was.
 
-use crate::sexpr::{Fault, Reader};
+use crate::sexpr::{Block, Fault, Reader};
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum LogFormat {
@@ -38,10 +39,116 @@
     pub key_file: Option<String>,
 }
 
+/// Where a server sends what it decided of late.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Publish {
+    pub control: Vec<SocketAddr>,
+    pub zone: String,
+    /// s
+    pub every: f64,
+    /// Where proxies reach this server, if not where it listens.
+    pub address: Option<SocketAddr>,
+}
+
+/// The control service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Control {
+    pub xds: SocketAddr,
+    pub reports: SocketAddr,
+    pub debug: Option<SocketAddr>,
+    /// All of these s: the oldest decision that a proxy may use, heartbeats, plans, how long a server is believed.
+    pub bound: f64,
+    pub heartbeat: f64,
+    pub plan_every: f64,
+    pub fresh: f64,
+    pub gone: f64,
+    /// Share of the servers that may be silent before the reports are suspected.
+    pub panic: f64,
+    pub subset: usize,
+    pub most_proxies: usize,
+    pub most_servers: usize,
+    pub snapshot: Option<String>,
+    /// Certificate, key, and the authority of proxies' certificates; PEM files.
+    pub tls: Option<(String, String, Option<String>)>,
+}
+
 #[derive(Clone, Debug, PartialEq, Default)]
 pub struct Settings {
     pub log: Log,
     pub trace: Option<Trace>,
+    pub publish: Option<Publish>,
+    pub control: Option<Control>,
+}
+
+/// An address behind a key, as text.
+fn address(block: &Block, key: &'static str) -> Option<SocketAddr> {
+    let text = block.text(key)?;
+    let found = text.parse().ok();
+    if found.is_none() {
+        block.fault(key, "should be an address such as \"127.0.0.1:18000\"");
+    }
+    found
+}
+
+/// The same where there must be one.
+fn needed(block: &Block, key: &'static str) -> SocketAddr {
+    if !block.has(key) {
+        block.fault(key, "should be given");
+    }
+    address(block, key).unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn publish(block: &Block) -> Publish {
+    let control = block.texts("control");
+    let read: Vec<SocketAddr> = control.iter().filter_map(|text| text.parse().ok()).collect();
+    if read.len() != control.len() || read.is_empty() {
+        block.fault("control", "should be addresses such as \"127.0.0.1:18001\", one or more");
+    }
+    let told = Publish {
+        control: read,
+        zone: block.text("zone").unwrap_or_else(|| "default".into()),
+        every: block.span("every", 0.25, 0.05..=10.0),
+        address: address(block, "address"),
+    };
+    block.finish();
+    told
+}
+
+fn control(block: &Block) -> Control {
+    let tls = block.block("tls").map(|tls| {
+        let read = (tls.text("certificate"), tls.text("key"), tls.text("clients"));
+        for key in ["certificate", "key"] {
+            if !tls.has(key) {
+                tls.fault(key, "should be given");
+            }
+        }
+        tls.finish();
+        (read.0.unwrap_or_default(), read.1.unwrap_or_default(), read.2)
+    });
+    let told = Control {
+        xds: needed(block, "xds"),
+        reports: needed(block, "reports"),
+        debug: address(block, "debug"),
+        bound: block.span("bound", 2.0, 0.2..=600.0),
+        heartbeat: block.span("heartbeat", 0.5, 0.05..=300.0),
+        plan_every: block.span("plan-every", 0.25, 0.05..=60.0),
+        fresh: block.span("fresh", 1.0, 0.1..=600.0),
+        gone: block.span("gone", 4.0, 0.2..=3600.0),
+        panic: block.number("panic", 0.5, 0.05..=1.0),
+        subset: block.count("subset", 100, 1..=100_000),
+        most_proxies: block.count("most-proxies", 10_000, 1..=1_000_000),
+        most_servers: block.count("most-servers", 20_000, 1..=1_000_000),
+        snapshot: block.text("snapshot"),
+        tls,
+    };
+    if told.heartbeat * 2.0 > told.bound {
+        block.fault("heartbeat", "should be half of the bound at the most, or leases end between two");
+    }
+    if told.gone <= told.fresh {
+        block.fault("gone", "should be longer than fresh");
+    }
+    block.finish();
+    told
 }
 
 /// Reads settings; `file` is named in faults, of which there may be several.
@@ -78,6 +185,8 @@
         trace.finish();
         settings.trace = Some(read);
     }
+    settings.publish = top.block("publish").as_ref().map(publish);
+    settings.control = top.block("control").as_ref().map(control);
     top.finish();
     match reader.faults() {
         faults if faults.is_empty() => Ok(settings),
@@ -108,6 +217,40 @@
             let _ = writeln!(out, "  (sample {}){key})", t.sample);
         }
     }
+    match &settings.publish {
+        None => out.push_str("; publish: off\n"),
+        Some(p) => {
+            let at: Vec<String> = p.control.iter().map(|at| format!("\"{at}\"")).collect();
+            let own = p.address.map_or(String::new(), |at| format!(" (address \"{at}\")"));
+            let (at, zone, every) = (at.join(" "), quoted(&p.zone), p.every);
+            let _ = writeln!(out, "(publish (control {at}) (zone {zone}) (every {every}s){own})");
+        }
+    }
+    match &settings.control {
+        None => out.push_str("; control: off\n"),
+        Some(c) => {
+            let debug = c.debug.map_or(String::new(), |at| format!("\n  (debug \"{at}\")"));
+            let _ = writeln!(out, "(control\n  (xds \"{}\")\n  (reports \"{}\"){debug}", c.xds, c.reports);
+            let _ = writeln!(
+                out,
+                "  (bound {}s) (heartbeat {}s) (plan-every {}s)",
+                c.bound, c.heartbeat, c.plan_every
+            );
+            let _ = writeln!(out, "  (fresh {}s) (gone {}s) (panic {})", c.fresh, c.gone, c.panic);
+            let _ = write!(
+                out,
+                "  (subset {}) (most-proxies {}) (most-servers {})",
+                c.subset, c.most_proxies, c.most_servers
+            );
+            let snapshot =
+                c.snapshot.as_ref().map_or(String::new(), |f| format!("\n  (snapshot {})", quoted(f)));
+            let tls = c.tls.as_ref().map_or(String::new(), |(certificate, key, clients)| {
+                let clients = clients.as_ref().map_or(String::new(), |f| format!(" (clients {})", quoted(f)));
+                format!("\n  (tls (certificate {}) (key {}){clients})", quoted(certificate), quoted(key))
+            });
+            let _ = writeln!(out, "{snapshot}{tls})");
+        }
+    }
     out
 }
 
@@ -126,6 +269,31 @@
         assert_eq!(read_settings("x", "").unwrap(), Settings::default());
     }
 
+    #[test]
+    fn the_control_service_and_who_publishes_to_it_read_as_they_are_shown() {
+        let text = "(control (xds \"127.0.0.1:1\") (reports \"127.0.0.1:2\") (debug \"127.0.0.1:3\") (bound 3s) (snapshot \"s\")
+            (tls (certificate \"c\") (key \"k\") (clients \"a\")))
+            (publish (control \"127.0.0.1:2\" \"127.0.0.2:2\") (zone \"a\") (every 100ms))";
+        let settings = read_settings("x", text).unwrap();
+        assert_eq!(settings.control.as_ref().unwrap().bound, 3.0);
+        assert_eq!(settings.publish.as_ref().unwrap().control.len(), 2);
+        assert_eq!(read_settings("shown", &show_settings(&settings)).unwrap(), settings);
+        let wrong = "(control (xds \"here\") (heartbeat 2s) (gone 500ms)) (publish (control 5))";
+        let said: Vec<String> =
+            read_settings("f", wrong).unwrap_err().iter().map(|f| f.key.clone()).collect();
+        assert_eq!(
+            said,
+            [
+                "control.reports",
+                "control.xds",
+                "control.heartbeat",
+                "control.gone",
+                "publish.control",
+                "publish.control"
+            ]
+        );
+    }
+
     #[test]
     fn every_fault_is_named_with_its_place_in_one_reading() {
         let text = "(log (format yaml))\n(trace\n  (block-rows many)\n  (file-spam 1h)\n  (file-span 90)\n  (sample 1) (sample 2))\nstray";
--- a/crates/charter/src/sexpr.rs
+++ b/crates/charter/src/sexpr.rs
@@ -283,6 +283,19 @@
         })
     }
 
+    /// Texts behind a key, any number of them.
+    pub fn texts(&self, key: &'static str) -> Vec<String> {
+        let Some(item) = self.one(key) else { return Vec::new() };
+        let mut all = Vec::new();
+        for node in item.rest {
+            match &node.form {
+                Form::Text(text) if !text.is_empty() => all.push(text.clone()),
+                _ => self.reader.fault(node.span.start, &self.name(key), "should be text in quotes"),
+            }
+        }
+        all
+    }
+
     /// One of a few words.
     pub fn word<T: Copy>(&self, key: &'static str, usual: T, choices: &[(&str, T)]) -> T {
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
--- /dev/null
+++ b/crates/cli/src/control/bench.rs
@@ -0,0 +1,142 @@
+//! `control bench`: how long planning takes, and how long a change takes from a server's report to all proxies, with
+//! stand-in proxies that decode what they get. Medians of one run; everything on this machine.
+
+use super::town::{report, setup};
+use crate::say::Done;
+use puffinladder_control::plan::Planner;
+use puffinladder_control::serve::start;
+use puffinladder_control::view::{Bounds, Report, Views};
+use puffinladder_proxy::Proxy;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+fn percentile(all: &mut [f64], share: f64) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get(((all.len() as f64 * share) as usize).min(all.len().saturating_sub(1))).copied().unwrap_or(0.0)
+}
+
+fn memory() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+fn planning() {
+    for count in [100, 1000, 10_000] {
+        let mut views = Views::new(Bounds::default());
+        let mut planner = Planner::default();
+        let address = SocketAddr::from(([127, 0, 0, 1], 4100));
+        let mut times = Vec::new();
+        for step in 0..30u64 {
+            let now = step as f64 * 0.25;
+            for at in 0..count {
+                let takes = 0.01 * (1.0 + ((at as u64 * 7 + step) % 10) as f64 * 0.02);
+                let zone = ["a", "b", "c"][at % 3].into();
+                views.take(now, Report { sequence: step + 1, made: now, takes, zone, ..report(at, address) });
+            }
+            let begun = Instant::now();
+            let plan = planner.plan(now, &views);
+            times.push(begun.elapsed().as_secs_f64() * 1e3);
+            drop(plan);
+        }
+        let (p50, p99) = (percentile(&mut times, 0.5), percentile(&mut times, 0.99));
+        println!("plan of {count:>6} servers: {p50:>7.2} ms, p99 {p99:.2} ms");
+    }
+}
+
+pub async fn bench(proxies: &[usize], servers: usize, changes: usize) -> Done {
+    planning();
+    for count in proxies {
+        for incremental in [false, true] {
+            push(*count, servers, changes, incremental).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Changes one server's health back and forth, and waits until every proxy has said that it holds the new plan.
+async fn push(count: usize, servers: usize, changes: usize, incremental: bool) -> Done {
+    let mut told = setup();
+    told.told.subsets.size = servers;
+    let running = start(told).await?;
+    let address = SocketAddr::from(([127, 0, 0, 1], 4100));
+    let mut all: Vec<Report> = (0..servers).map(|at| report(at, address)).collect();
+    let mut stream = TcpStream::connect(running.reports).await?;
+    let begun = Instant::now();
+    let send = |all: &mut Vec<Report>| -> Result<Vec<u8>, std::io::Error> {
+        let mut lines = Vec::new();
+        for report in all {
+            (report.sequence, report.made) = (report.sequence + 1, begun.elapsed().as_secs_f64());
+            serde_json::to_writer(&mut lines, report)?;
+            lines.push(b'\n');
+        }
+        Ok(lines)
+    };
+    let before = memory();
+    let fleet: Vec<Proxy> =
+        (0..count).map(|at| Proxy::start(running.xds, &format!("p{at}"), "a", incremental)).collect();
+    let settled = || async {
+        let found = running.desk.ask(|core, _| {
+            (core.settled(), core.peers(), core.serial(), core.plan().map(|p| p.shares.len()))
+        });
+        found.await.unwrap_or_default()
+    };
+    let end = Instant::now() + Duration::from_secs(120);
+    loop {
+        let lines = send(&mut all)?;
+        stream.write_all(&lines).await?;
+        let (held, open, _, shares) = settled().await;
+        if held == count && open == count && shares == Some(servers) {
+            break;
+        }
+        if Instant::now() > end {
+            println!("{count} proxies: only {held} hold the plan after two minutes");
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let each = (memory() - before) * 1024.0 / count as f64;
+    let bytes = || fleet.iter().map(|p| p.counts()).fold((0, 0), |sum, c| (sum.0 + c.0, sum.1 + c.2));
+    let (mut first, mut last) = (Vec::new(), Vec::new());
+    let start_bytes = bytes();
+    let mut sent_at = Instant::now();
+    for change in 0..changes {
+        let old = running.desk.ask(|core, _| core.serial()).await.unwrap_or_default();
+        all[0].healthy = change % 2 == 1;
+        let lines = send(&mut all)?;
+        let begun = Instant::now();
+        stream.write_all(&lines).await?;
+        let mut planned = None;
+        while begun.elapsed() < Duration::from_secs(10) {
+            let (held, _, serial, _) = settled().await;
+            if serial > old && planned.is_none() {
+                planned = Some(begun.elapsed());
+            }
+            if planned.is_some() && held == count {
+                break;
+            }
+            if sent_at.elapsed() > Duration::from_millis(250) {
+                sent_at = Instant::now();
+                let lines = send(&mut all)?;
+                stream.write_all(&lines).await?;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        first.extend(planned.map(|at| at.as_secs_f64() * 1e3));
+        last.push(begun.elapsed().as_secs_f64() * 1e3);
+    }
+    let now = bytes();
+    let size = (now.1 - start_bytes.1) as f64 / (now.0 - start_bytes.0).max(1) as f64;
+    println!(
+        "{count:>5} proxies, {servers} servers, {}: a change to all acked p50 {:.0} ms p99 {:.0} ms (planned after {:.0} ms); \
+         {size:.0} bytes a response, {each:.0} KB a proxy with its stand-in",
+        if incremental { "incremental   " } else { "whole state   " },
+        percentile(&mut last, 0.5),
+        percentile(&mut last, 0.99),
+        percentile(&mut first, 0.5),
+    );
+    running.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/control/mod.rs
@@ -0,0 +1,211 @@
+//! `puffinladder control`: the control service, and tools round its plan.
+
+mod bench;
+mod town;
+
+use crate::say::{Done, Wrong};
+use clap::{Args, Subcommand};
+use puffinladder_charter::settings::{read_settings, Control as Told};
+use puffinladder_control::core::{Times, Told as Core};
+use puffinladder_control::plan::Planner;
+use puffinladder_control::resources::Subsets;
+use puffinladder_control::serve::{start, Setup, Tls};
+use puffinladder_control::stream::Lease;
+use puffinladder_control::view::{Bounds, Report, Verdict, Views};
+use std::io::Write;
+use std::path::PathBuf;
+
+#[derive(Args)]
+#[command(
+    args_conflicts_with_subcommands = true,
+    after_help = "Examples:\n  puffinladder control --settings deploy/control.example.scm\n  \
+        puffinladder control plan views.json --zone a\n  puffinladder control town"
+)]
+pub struct Line {
+    /// Settings with a (control ...) in them
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// From servers' reports to the plan, without a service: what each would get, and why
+    #[command(
+        after_help = "VIEWS is a JSON list of reports, as /servers of the debug view shows them under \"report\".\n\n\
+        Example:\n  puffinladder control plan views.json --steps 40"
+    )]
+    Plan {
+        /// - is standard input
+        views: String,
+        /// Plans made one after the other from the same reports, a quarter of a second apart: shares move step by step
+        #[arg(long, default_value_t = 1)]
+        steps: u32,
+        /// The zone whose routes are shown
+        #[arg(long)]
+        zone: Option<String>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// An example on loopback: two stand-in servers, the service, two stand-in proxies; one server leaves, one slows down
+    Town {
+        /// s that it plays
+        #[arg(long, default_value_t = 20)]
+        seconds: u32,
+    },
+    /// Measure planning, pushes to many proxies and staleness, on stand-ins on loopback
+    #[command(after_help = "Example:\n  puffinladder control bench --proxies 10,100,1000 --servers 1000")]
+    Bench {
+        #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
+        proxies: Vec<usize>,
+        #[arg(long, default_value_t = 1000)]
+        servers: usize,
+        /// Changes that are pushed, for each number of proxies
+        #[arg(long, default_value_t = 20)]
+        changes: usize,
+    },
+}
+
+fn setup(told: &Told) -> Setup {
+    let bounds = Bounds {
+        fresh: told.fresh,
+        gone: told.gone,
+        panic: told.panic,
+        most_servers: told.most_servers,
+        ..Bounds::default()
+    };
+    let lease = Lease { bound: told.bound, heartbeat: told.heartbeat, ..Lease::default() };
+    let core = Core {
+        bounds,
+        lease,
+        subsets: Subsets { size: told.subset, ..Subsets::default() },
+        times: Times { plan: told.plan_every, ..Times::default() },
+    };
+    let tls = told.tls.as_ref().map(|(certificate, key, clients)| Tls {
+        certificate: certificate.into(),
+        key: key.into(),
+        clients: clients.as_ref().map(Into::into),
+    });
+    Setup {
+        told: core,
+        xds: told.xds,
+        reports: told.reports,
+        debug: told.debug,
+        snapshot: told.snapshot.as_ref().map(Into::into),
+        most_proxies: told.most_proxies,
+        tls,
+    }
+}
+
+pub fn run(line: Line) -> Done {
+    match line.command {
+        None => serve(line.settings),
+        Some(Command::Plan { views, steps, zone, json }) => plan(&views, steps, zone.as_deref(), json),
+        Some(Command::Town { seconds }) => runtime()?.block_on(town::town(seconds)),
+        Some(Command::Bench { proxies, servers, changes }) => {
+            if servers == 0 || changes == 0 || proxies.contains(&0) {
+                return Err(Wrong::Asked("--proxies, --servers and --changes should be 1 or more".into()));
+            }
+            runtime()?.block_on(bench::bench(&proxies, servers, changes))
+        }
+    }
+}
+
+fn runtime() -> Done<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?)
+}
+
+fn serve(settings: Option<PathBuf>) -> Done {
+    let path = settings.or_else(|| std::env::var_os("PUFFINLADDER_SETTINGS").map(Into::into));
+    let path =
+        path.ok_or_else(|| Wrong::Asked("--settings or PUFFINLADDER_SETTINGS should name a file".into()))?;
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(&path).map_err(|e| Wrong::Failed(format!("{name}: {e}")))?;
+    let settings = read_settings(&name, &text).map_err(|faults| {
+        Wrong::Asked(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+    })?;
+    let told = settings.control.ok_or_else(|| Wrong::Asked(format!("{name}: has no (control ...)")))?;
+    let levels = std::env::var("RUST_LOG").ok().or(settings.log.filter).unwrap_or_else(|| "info".into());
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    let log = log.with_env_filter(tracing_subscriber::EnvFilter::builder().parse_lossy(levels));
+    match settings.log.format {
+        puffinladder_charter::settings::LogFormat::Text => log.init(),
+        puffinladder_charter::settings::LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+    runtime()?.block_on(async {
+        let running = start(setup(&told)).await?;
+        tracing::info!("xds on {}, reports on {}", running.xds, running.reports);
+        if let Some(view) = running.debug {
+            tracing::info!("debug view on http://{view}");
+        }
+        let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        tracing::info!("was told to leave");
+        running.stop().await;
+        Ok(())
+    })
+}
+
+fn plan(views: &str, steps: u32, zone: Option<&str>, as_json: bool) -> Done {
+    let text = match views {
+        "-" => std::io::read_to_string(std::io::stdin())?,
+        path => std::fs::read_to_string(path).map_err(|e| Wrong::Failed(format!("{path}: {e}")))?,
+    };
+    let reports: Vec<Report> = serde_json::from_str(&text)
+        .map_err(|e| Wrong::Asked(format!("{views}:{}:{}: {e}", e.line(), e.column())))?;
+    let mut held = Views::new(Bounds::default());
+    let mut planner = Planner::default();
+    let mut made = None;
+    for step in 0..steps.max(1) {
+        let now = f64::from(step) * 0.25;
+        for (at, report) in reports.iter().enumerate() {
+            let sequence = u64::from(step) + 1;
+            let report = Report { sequence, made: now, ..report.clone() };
+            if let Verdict::Impossible(what) = held.take(now, report) {
+                return Err(Wrong::Asked(format!("{views}: report {}: {what}", at + 1)));
+            }
+        }
+        made = planner.plan(now, &held);
+    }
+    let plan = made.ok_or_else(|| Wrong::Failed("no plan: nobody could be routed to".into()))?;
+    let mut out = std::io::stdout().lock();
+    if as_json {
+        writeln!(out, "{}", serde_json::to_string_pretty(&plan).map_err(std::io::Error::from)?)?;
+        return Ok(());
+    }
+    writeln!(
+        out,
+        "{:<20} {:<10} {:>8} {:>8} {:>10} {:>10} {:>7}  held",
+        "server", "zone", "share", "target", "says", "carries", "belief"
+    )?;
+    for s in &plan.shares {
+        let (why, name) = (&s.why, &s.instance);
+        writeln!(
+            out,
+            "{name:<20} {:<10} {:>8.4} {:>8.4} {:>10.1} {:>10.1} {:>7.2}  {}",
+            s.zone, s.weight, why.target, why.says, why.carries, why.belief, why.held
+        )?;
+    }
+    for (name, z) in &plan.zones {
+        let to: Vec<String> = z.to.iter().map(|(to, share)| format!("{to} {share:.2}")).collect();
+        let to = if z.spill > 0.0 {
+            format!(", {:.1}% elsewhere: {}", z.spill * 100.0, to.join(", "))
+        } else {
+            String::new()
+        };
+        writeln!(out, "zone {name}: load {:.1} of {:.1} a second{to}", z.load, z.capacity)?;
+    }
+    for drop in &plan.drops {
+        writeln!(out, "drop {:.1}% of {} of {}", drop.share * 100.0, drop.product, drop.customer)?;
+    }
+    if let Some(zone) = zone {
+        for (share, weight) in plan.routes(zone) {
+            writeln!(out, "from {zone} to {} ({}): {weight:.4}", share.instance, share.address)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/control/town.rs
@@ -0,0 +1,120 @@
+//! `control town`: servers and proxies as stand-ins round a real service, to see what it does.
+
+use crate::say::Done;
+use puffinladder_control::core::Told;
+use puffinladder_control::serve::{start, Setup};
+use puffinladder_control::view::Report;
+use puffinladder_proxy::{Pick, Proxy};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// A report as a stand-in server makes it.
+pub fn report(at: usize, address: SocketAddr) -> Report {
+    Report {
+        instance: format!("n{at:05}"),
+        incarnation: 1,
+        sequence: 0,
+        made: 0.0,
+        zone: "a".into(),
+        address,
+        cores: 4.0,
+        limit: 4.0,
+        running: 2.0,
+        takes: 0.01,
+        pressure: 0.0,
+        retry_after: 0.25,
+        healthy: true,
+        leaving: None,
+        warmth: 1.0,
+        settled: 100.0,
+        classes: Vec::new(),
+    }
+}
+
+pub fn setup() -> Setup {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Setup {
+        told: Told::default(),
+        xds: any,
+        reports: any,
+        debug: Some(any),
+        snapshot: None,
+        most_proxies: 100_000,
+        tls: None,
+    }
+}
+
+pub async fn town(seconds: u32) -> Done {
+    let running = start(setup()).await?;
+    println!("control service: xds {}, reports {}", running.xds, running.reports);
+    if let Some(debug) = running.debug {
+        println!("look at http://{debug}/plan, /servers, /proxies, /metrics");
+    }
+    let mut servers = Vec::new();
+    for at in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        servers.push(report(at, listener.local_addr()?));
+        // What they are asked they answer with their name.
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = stream.write_all(format!("n{at:05}\n").as_bytes()).await;
+            }
+        });
+    }
+    let proxies: Vec<Proxy> =
+        (0..2).map(|at| Proxy::start(running.xds, &format!("p{at}"), "a", at == 1)).collect();
+    let mut stream = TcpStream::connect(running.reports).await?;
+    let begun = Instant::now();
+    let mut sent: BTreeMap<(usize, String), u32> = BTreeMap::new();
+    let mut told = 0;
+    while begun.elapsed() < Duration::from_secs(seconds.into()) {
+        let now = begun.elapsed().as_secs_f64();
+        let (slow, leaves) = (f64::from(seconds) * 0.3, f64::from(seconds) * 0.65);
+        servers[1].takes = if now > slow { 0.04 } else { 0.01 };
+        servers[0].leaving = (now > leaves).then_some(3.0);
+        for server in &mut servers {
+            (server.sequence, server.made) = (server.sequence + 1, now);
+            let line = format!("{}\n", serde_json::to_string(server).map_err(std::io::Error::from)?);
+            stream.write_all(line.as_bytes()).await?;
+        }
+        // Real connections to whichever server a proxy chooses.
+        for (at, proxy) in proxies.iter().enumerate() {
+            for n in 0..50u32 {
+                let draw = (f64::from(n) + 0.5) / 50.0;
+                let name = match proxy.pick("p", "k", [draw, 0.5, draw]) {
+                    Pick::To { server, .. } => match TcpStream::connect(server).await {
+                        Ok(_) => servers
+                            .iter()
+                            .find(|s| s.address == server)
+                            .map_or("?", |s| &s.instance)
+                            .to_owned(),
+                        Err(_) => "unreachable".into(),
+                    },
+                    Pick::Dropped { .. } => "dropped".into(),
+                    Pick::Nothing => "nowhere".into(),
+                };
+                *sent.entry((at, name)).or_insert(0) += 1;
+            }
+        }
+        if begun.elapsed().as_secs() > told {
+            told = begun.elapsed().as_secs();
+            let what = if now > leaves {
+                "n00000 leaves"
+            } else if now > slow {
+                "n00001 is four times slower"
+            } else {
+                "all is well"
+            };
+            let all: Vec<String> =
+                sent.iter().map(|((at, name), count)| format!("p{at} to {name} {count}")).collect();
+            println!("{told:>3} s  {what:<28} {}", all.join(", "));
+            sent.clear();
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    running.stop().await;
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod control;
 mod say;
 mod trace;
 
@@ -57,6 +58,8 @@
         /// Settings (S-expressions), or a configuration (JSON)
         file: PathBuf,
     },
+    /// Serve the servers' decisions to proxies over xDS
+    Control(control::Line),
     /// Ask, cut, merge, veil and mend traces
     Trace {
         #[command(subcommand)]
@@ -87,6 +90,7 @@
             puffinladder_server::run(&options).map_err(Wrong::Failed)
         }
         Command::Check { file } => check::check(&file),
+        Command::Control(line) => control::run(line),
         Command::Trace { command } => trace::run(command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod plan;
 pub mod resources;
+pub mod serve;
 pub mod shed;
 pub mod stream;
 pub mod view;
--- /dev/null
+++ b/crates/control/src/serve/view.rs
@@ -0,0 +1,107 @@
+//! What people and monitors look at: `/plan`, `/servers`, `/proxies` as JSON, `/metrics` as Prometheus reads them, `/health`.
+
+use super::Desk;
+use axum::extract::State;
+use axum::http::{header, StatusCode};
+use axum::response::IntoResponse;
+use axum::routing::get;
+use axum::{Json, Router};
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+type Found = Result<Json<Value>, StatusCode>;
+
+fn found(value: Option<Value>) -> Found {
+    value.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+async fn plan(State(desk): State<Desk>) -> Found {
+    let told = desk.ask(|core, now| {
+        let serial = core.serial();
+        core.plan().map(|plan| {
+            json!({"epoch": serial.epoch, "number": serial.number, "age": now - plan.made, "plan": &**plan})
+        })
+    });
+    found(told.await.flatten())
+}
+
+async fn servers(State(desk): State<Desk>) -> Found {
+    let told = desk.ask(|core, now| {
+        let one = |b: crate::view::Believed| json!({"report": b.report, "age": b.age, "belief": b.belief});
+        let all: Vec<Value> = core.views().believed(now).into_iter().map(one).collect();
+        json!({"panic": core.views().panic(now), "servers": all})
+    });
+    found(told.await)
+}
+
+async fn proxies(State(desk): State<Desk>) -> Found {
+    found(desk.ask(|core, now| json!({"settled": core.settled(), "proxies": core.seen(now)})).await)
+}
+
+async fn health(State(desk): State<Desk>) -> impl IntoResponse {
+    let bound = |core: &crate::core::Core, now: f64| core.plan().is_some_and(|plan| now - plan.made < 2.0);
+    match desk.ask(bound).await {
+        Some(true) => (StatusCode::OK, "a plan holds\n"),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "no plan holds\n"),
+    }
+}
+
+async fn metrics(State(desk): State<Desk>) -> impl IntoResponse {
+    let told = desk.ask(|core, now| {
+        let (counts, totals, serial) = (core.counts(), core.totals, core.serial());
+        let age = core.plan().map_or(f64::INFINITY, |plan| now - plan.made);
+        let lines: [(&str, &str, &str, f64); 17] = [
+            ("plan_age_seconds", "gauge", "Since the plan in force was decided", age),
+            ("plan_number", "gauge", "Number of the plan in this life", serial.number as f64),
+            ("plans_total", "counter", "Plans decided", totals.plans as f64),
+            ("plans_changed_total", "counter", "Plans that changed what proxies hold", totals.changed as f64),
+            ("plans_missing_total", "counter", "Times that no plan could be made", totals.none as f64),
+            ("servers", "gauge", "Servers heard of", core.views().len() as f64),
+            ("servers_fresh", "gauge", "Servers heard of lately", core.views().fresh(now) as f64),
+            (
+                "panic",
+                "gauge",
+                "1 while most reports are missing",
+                f64::from(u8::from(core.views().panic(now))),
+            ),
+            ("reports_taken_total", "counter", "Reports taken", core.views().taken as f64),
+            ("reports_refused_total", "counter", "Reports refused", core.views().refused as f64),
+            ("proxies", "gauge", "Streams of proxies", core.peers() as f64),
+            ("proxies_settled", "gauge", "Proxies that hold all of the plan", core.settled() as f64),
+            ("responses_total", "counter", "Responses with content", counts.sent as f64),
+            ("heartbeats_total", "counter", "Responses that renew leases only", counts.heartbeats as f64),
+            ("refused_total", "counter", "Responses that proxies refused", counts.refused as f64),
+            (
+                "coalesced_total",
+                "counter",
+                "Plans that came and went while an answer was awaited",
+                counts.coalesced as f64,
+            ),
+            ("cut_total", "counter", "Streams cut", totals.cut as f64),
+        ];
+        let one = |(name, kind, help, value): (&str, &str, &str, f64)| {
+            let name = format!("puffinladder_control_{name}");
+            format!("# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}\n")
+        };
+        lines.into_iter().map(one).collect::<String>()
+    });
+    let kind = [(header::CONTENT_TYPE, "text/plain; version=0.0.4")];
+    told.await.map(|text| (kind, text)).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+pub async fn listen(listener: TcpListener, desk: Desk, mut stopped: watch::Receiver<bool>) {
+    let router = Router::new()
+        .route("/plan", get(plan))
+        .route("/servers", get(servers))
+        .route("/proxies", get(proxies))
+        .route("/metrics", get(metrics))
+        .route("/health", get(health))
+        .with_state(desk);
+    let ends = async move {
+        let _ = stopped.changed().await;
+    };
+    if let Err(e) = axum::serve(listener, router).with_graceful_shutdown(ends).await {
+        tracing::error!("debug view: {e}");
+    }
+}
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -70,7 +70,7 @@
         };
         if !named(&self.instance) || !named(&self.zone) {
             Some("a name is missing or too long")
-        } else if !figures.into_iter().all(natural) || !(self.cores > 0.0 && self.cores.is_finite()) {
+        } else if !figures.into_iter().all(natural) || self.cores <= 0.0 || !self.cores.is_finite() {
             Some("a figure is out of range")
         } else if !(0.0..=1.0).contains(&self.pressure) || !(0.0..=1.0).contains(&self.warmth) {
             Some("pressure or warmth is no share")
--- /dev/null
+++ b/crates/control/tests/sockets.rs
@@ -0,0 +1,300 @@
+//! Stories of the service on sockets, with servers' reports and stand-in proxies on loopback.
+
+use puffinladder_control::core::Told;
+use puffinladder_control::serve::{start, Running, Setup};
+use puffinladder_control::stream::Lease;
+use puffinladder_control::view::{Class, Report};
+use puffinladder_proxy::{Habit, Pick, Proxy};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const BOUND: f64 = 1.0;
+
+fn setup(snapshot: Option<PathBuf>) -> Setup {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let lease = Lease { bound: BOUND, heartbeat: 0.2, ..Lease::default() };
+    let mut told = Told { lease, ..Told::default() };
+    (told.times.plan, told.times.settle) = (0.1, 0.2);
+    Setup { told, xds: any, reports: any, debug: Some(any), snapshot, most_proxies: 100, tls: None }
+}
+
+fn report(at: u16) -> Report {
+    Report {
+        instance: format!("n{at}"),
+        incarnation: 1,
+        sequence: 0,
+        made: 0.0,
+        zone: "a".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 4000 + at)),
+        cores: 4.0,
+        limit: 4.0,
+        running: 2.0,
+        takes: 0.01,
+        pressure: 0.0,
+        retry_after: 0.25,
+        healthy: true,
+        leaving: None,
+        warmth: 1.0,
+        settled: 100.0,
+        classes: Vec::new(),
+    }
+}
+
+/// Servers that report ten times a second, as tests change them.
+#[derive(Clone)]
+struct Servers(Arc<Mutex<(SocketAddr, Vec<Report>)>>);
+
+impl Servers {
+    fn start(at: SocketAddr, all: Vec<Report>) -> Servers {
+        let servers = Servers(Arc::new(Mutex::new((at, all))));
+        let told = servers.clone();
+        tokio::spawn(async move {
+            let begun = Instant::now();
+            let mut stream: Option<(SocketAddr, TcpStream)> = None;
+            loop {
+                let (at, lines) = told.with(|(at, all)| {
+                    let mut lines = String::new();
+                    for report in all {
+                        (report.sequence, report.made) = (report.sequence + 1, begun.elapsed().as_secs_f64());
+                        lines += &serde_json::to_string(report).unwrap();
+                        lines.push('\n');
+                    }
+                    (*at, lines)
+                });
+                if stream.as_ref().is_none_or(|(old, _)| *old != at) {
+                    stream = TcpStream::connect(at).await.ok().map(|stream| (at, stream));
+                }
+                if let Some((_, open)) = &mut stream {
+                    if open.write_all(lines.as_bytes()).await.is_err() {
+                        stream = None;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        servers
+    }
+    fn with<T>(&self, change: impl FnOnce(&mut (SocketAddr, Vec<Report>)) -> T) -> T {
+        change(&mut self.0.lock().unwrap())
+    }
+    fn change(&self, change: impl Fn(&mut Report)) {
+        self.with(|(_, all)| all.iter_mut().for_each(change));
+    }
+}
+
+async fn until(what: &str, mut wanted: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !wanted() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn pick(proxy: &Proxy, draw: f64) -> Pick {
+    proxy.pick("p", "k", [draw, 0.5, draw])
+}
+fn routes(proxy: &Proxy) -> bool {
+    matches!(pick(proxy, 0.5), Pick::To { .. })
+}
+/// Ports of the servers that it routes to.
+fn ports(proxy: &Proxy) -> Vec<u16> {
+    let mut all: Vec<u16> = (0..200)
+        .filter_map(|at| match pick(proxy, f64::from(at) / 200.0) {
+            Pick::To { server, .. } => Some(server.port()),
+            _ => None,
+        })
+        .collect();
+    all.dedup();
+    all
+}
+
+async fn world(servers: u16) -> (Running, Servers, Vec<Proxy>) {
+    let running = start(setup(None)).await.unwrap();
+    let servers = Servers::start(running.reports, (0..servers).map(report).collect());
+    let proxies: Vec<Proxy> =
+        (0..4).map(|at| Proxy::start(running.xds, &format!("p{at}"), "a", at % 2 == 0)).collect();
+    until("all proxies to route", || proxies.iter().all(routes)).await;
+    (running, servers, proxies)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn proxies_of_both_protocols_follow_the_servers_and_a_drained_one_gets_nothing() {
+    let (_running, servers, proxies) = world(3).await;
+    for proxy in &proxies {
+        until("all three", || ports(proxy) == [4000, 4001, 4002]).await;
+    }
+    servers.with(|(_, all)| all[1].leaving = Some(2.0));
+    for proxy in &proxies {
+        until("the drain", || ports(proxy) == [4000, 4002]).await;
+    }
+    let class = |product: &str| Class {
+        product: product.into(),
+        customer: "k".into(),
+        worth: 1.0,
+        asked: 100.0,
+        declined: if product == "p" { 60.0 } else { 0.0 },
+    };
+    // As if proxies dropped nothing yet: the share rises while servers decline so much.
+    servers.change(|server| server.classes = vec![class("p")]);
+    for proxy in &proxies {
+        until("a drop", || matches!(pick(proxy, 0.0), Pick::Dropped { .. })).await;
+        assert!(matches!(proxy.pick("other", "k", [0.0; 3]), Pick::To { .. }));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_the_service_dies_nobody_routes_past_the_bound() {
+    let (running, servers, proxies) = world(2).await;
+    running.kill();
+    let died = Instant::now();
+    // Nothing decided later than now: each may route until the bound, and none after.
+    while died.elapsed().as_secs_f64() < BOUND {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..20 {
+        assert!(
+            !proxies.iter().any(routes),
+            "{:?}",
+            proxies.iter().map(|p| pick(p, 0.5)).collect::<Vec<_>>()
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    drop(servers);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_proxy_that_was_dark_routes_nothing_by_its_old_version_and_catches_up_in_one_exchange() {
+    let (_running, servers, proxies) = world(2).await;
+    let (dark, others) = proxies.split_first().unwrap();
+    let before = dark.plan().unwrap();
+    dark.habit(Habit { dark: true, ..Habit::default() });
+    servers.with(|(_, all)| all.push(report(7)));
+    tokio::time::sleep(Duration::from_secs_f64(BOUND)).await;
+    assert!(!routes(dark), "{:?}", pick(dark, 0.5));
+    for other in others {
+        assert!(routes(other));
+        until("the new server", || ports(other).contains(&4007)).await;
+    }
+    let seen = dark.counts().0;
+    dark.habit(Habit::default());
+    until("the dark one to route again", || routes(dark)).await;
+    until("the new server", || ports(dark).contains(&4007)).await;
+    assert_ne!(dark.plan().unwrap(), before);
+    // What was under way, and then the latest: not every plan that it missed.
+    assert!(dark.counts().0 - seen <= 12, "{}", dark.counts().0 - seen);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn decisions_that_flip_faster_than_proxies_answer_coalesce_and_each_holds_the_latest() {
+    let (running, servers, proxies) = world(4).await;
+    proxies.iter().for_each(|p| p.habit(Habit { ack_after: Duration::from_millis(200), ..Habit::default() }));
+    let begun = Instant::now();
+    let mut flip = 0u32;
+    while begun.elapsed() < Duration::from_secs(3) {
+        flip += 1;
+        servers.change(|server| {
+            server.takes =
+                if (flip + u32::from(server.address.port())).is_multiple_of(2) { 0.01 } else { 0.03 }
+        });
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    servers.change(|server| server.takes = 0.01);
+    for proxy in &proxies {
+        // No older plan after a newer one.
+        let plans = proxy.plans();
+        let numbers: Vec<u64> = plans.iter().map(|p| p.split_once('.').unwrap().1.parse().unwrap()).collect();
+        assert!(numbers.is_sorted(), "{numbers:?}");
+    }
+    let settled = || async { running.desk.ask(|core, _| core.settled()).await.unwrap() };
+    let end = Instant::now() + Duration::from_secs(20);
+    while settled().await < 4 {
+        assert!(Instant::now() < end);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let versions: Vec<_> = proxies.iter().map(|p| p.version()).collect();
+    assert!(versions.iter().all(|v| v == &versions[0]), "{versions:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn proxies_that_refuse_never_answer_or_lie_disturb_no_other() {
+    let (running, servers, proxies) = world(3).await;
+    proxies[0].habit(Habit { refuses: true, ..Habit::default() });
+    proxies[1].habit(Habit { never_acks: true, ..Habit::default() });
+    proxies[2].habit(Habit { lies: true, ..Habit::default() });
+    servers.with(|(_, all)| all[0].healthy = false);
+    until("the well one", || ports(&proxies[3]) == [4001, 4002]).await;
+    let (mut refused, mut unknown) = (0, 0);
+    let end = Instant::now() + Duration::from_secs(20);
+    while refused == 0 || unknown == 0 {
+        assert!(Instant::now() < end, "{refused} refused, {unknown} unknown");
+        let counts = running.desk.ask(|core, _| core.counts()).await.unwrap();
+        (refused, unknown) = (counts.refused, counts.unknown);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // By the bound none of them routes by what it held before.
+    tokio::time::sleep(Duration::from_secs_f64(BOUND)).await;
+    assert!(!ports(&proxies[0]).contains(&4000) && !ports(&proxies[1]).contains(&4000));
+    assert!(routes(&proxies[3]));
+    proxies[0].habit(Habit::default());
+    servers.with(|(_, all)| all[0].healthy = true);
+    until("it to come back", || ports(&proxies[0]).contains(&4000)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_comes_back_sends_neither_an_empty_world_nor_an_older_plan() {
+    let folder = std::env::temp_dir().join(format!("puffinladder-control-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("snapshot.json");
+    let first = start(setup(Some(file.clone()))).await.unwrap();
+    let servers = Servers::start(first.reports, (0..3).map(report).collect());
+    let proxy = Proxy::start(first.xds, "p", "a", true);
+    until("it to route", || routes(&proxy)).await;
+    let epoch = |plan: &str| plan.split_once('.').unwrap().0.parse::<u64>().unwrap();
+    let before = epoch(&proxy.plan().unwrap());
+    first.stop().await;
+    assert!(file.exists());
+    let second = start(setup(Some(file.clone()))).await.unwrap();
+    // Before any report: its proxies get the last plan inside its bound, or nothing.
+    let early = Proxy::start(second.xds, "early", "a", false);
+    servers.with(|(at, _)| *at = second.reports);
+    until("the new plan", || routes(&early) && ports(&early).len() == 3).await;
+    assert!(epoch(&early.plan().unwrap()) > before);
+    second.stop().await;
+    // A snapshot that can't be read is none.
+    std::fs::write(&file, b"{ half a").unwrap();
+    let third = start(setup(Some(file))).await.unwrap();
+    servers.with(|(at, _)| *at = third.reports);
+    let late = Proxy::start(third.xds, "late", "a", false);
+    until("a plan without a snapshot", || routes(&late)).await;
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_cost_little_and_the_debug_view_tells() {
+    let (running, _servers, _proxies) = world(2).await;
+    for bytes in [&b"{\"instance\":5}\n"[..], b"\xff\xfe\n", &[b'x'; 1 << 21], b"{"] {
+        let mut stream = TcpStream::connect(running.reports).await.unwrap();
+        let _ = stream.write_all(bytes).await;
+        let _ = stream.shutdown().await;
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+        assert!(rest.is_empty());
+    }
+    let get = |path: &'static str| async move {
+        let mut stream = TcpStream::connect(running.debug.unwrap()).await.unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        text
+    };
+    assert!(get("/health").await.contains("a plan holds"));
+    assert!(get("/plan").await.contains("\"instance\":\"n1\""));
+    assert!(get("/servers").await.contains("\"belief\":1.0"));
+    assert!(get("/proxies").await.contains("\"node\":\"p3\""));
+    assert!(get("/metrics").await.contains("puffinladder_control_proxies 4"));
+}
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -152,6 +152,9 @@
     pub fn leave(&self, kill: f64, now: f64) {
         self.kill.get_or_init(|| kill);
         self.record.note(now, Topic::LEAVE, kill - now);
+        if let Some(counts) = self.record.counts() {
+            counts.leave(kill);
+        }
         self.tell(|plan| plan.news.leave = Some(kill));
     }
     /// When the kill comes, after a notice to leave.
@@ -202,6 +205,10 @@
         self.tell(|_| {});
     }
 
+    /// Runs that are open.
+    pub fn running(&self) -> usize {
+        self.plan().hands.running()
+    }
     pub fn serving(&self) -> bool {
         self.good.load(Ordering::Relaxed)
     }
@@ -340,6 +347,9 @@
     fn health(&mut self, good: bool, _stored: bool) {
         self.desk.good.store(good, Ordering::Relaxed);
         self.desk.record.change(self.now, Topic::HEALTH, f64::from(u8::from(good)));
+        if let Some(counts) = self.desk.record.counts() {
+            counts.health(good);
+        }
     }
     fn signal(&mut self, amount: f64) {
         let mut signal = lock(&self.desk.signal);
@@ -353,7 +363,10 @@
     fn wake(&mut self, after: f64) {
         *self.wake_at = self.now + after;
     }
-    fn limits(&mut self, runs: f64, calls: f64) {
+    fn limits(&mut self, runs: f64, calls: f64, pressure: f64) {
+        if let Some(counts) = self.desk.record.counts() {
+            counts.limits(runs, pressure);
+        }
         self.desk.record.change(self.now, Topic::LIMIT, runs);
         self.desk.record.change(self.now, Topic::CALLS, calls);
     }
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -4,6 +4,7 @@
 pub mod chores;
 pub mod journal;
 pub mod papers;
+pub mod publish;
 pub mod recording;
 pub mod tally;
 
@@ -11,6 +12,7 @@
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::memory::book::Book;
+use crate::memory::counts::Counts;
 use crate::memory::keys::Keys;
 use crate::txn::Living;
 use crate::wire::agent::{self, Agent};
@@ -98,7 +100,10 @@
     let warrant = papers.read()?;
     let limits = Limits::new(&warrant);
     journal::start(&limits, &settings.log)?;
-    let (book, recording) = recording::begin(settings.trace.as_ref(), &warrant, &limits)?;
+    let terms = &warrant.terms;
+    let counts = || Arc::new(Counts::new(terms.products.len(), terms.customers.len()));
+    let counts = settings.publish.as_ref().map(|_| counts());
+    let (book, recording) = recording::begin(settings.trace.as_ref(), &warrant, &limits, counts)?;
     let house = House::new(warrant, book);
     let (limits, listen) = (&house.limits, house.warrant.listen);
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
@@ -110,6 +115,9 @@
     let listener = TcpListener::bind(listen).map_err(at)?;
     let listens = listener.inner().local_addr().map_err(at)?;
     tracing::info!("{} listens on {listens}", house.warrant.name);
+    if let Some(told) = &settings.publish {
+        publish::begin(told, &house, listens)?;
+    }
     deep(&house, "desk", |house| house.desk.run(house))?;
     deep(&house, "agent", agent::run)?;
     deep(&house, "roster", roster::run)?;
--- /dev/null
+++ b/crates/server/src/life/publish.rs
@@ -0,0 +1,101 @@
+//! Tells a control service what this server decided of late, if the settings ask for it: a line of JSON a few times a
+//! second, over TCP, from a thread of its own. Nobody waits for it, and nothing comes back.
+
+use super::House;
+use crate::memory::counts::Counts;
+use puffinladder_charter::settings::Publish;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long a connection may take to open, and a line to leave.
+const WAIT: Duration = Duration::from_millis(200);
+
+/// What does not change while the process lives.
+struct Who {
+    instance: String,
+    incarnation: u64,
+    zone: String,
+    address: SocketAddr,
+    cores: f64,
+    cold: Option<f64>,
+    cold_share: f64,
+    products: Vec<(String, f64)>,
+    customers: Vec<String>,
+}
+
+/// Starts to publish; the process ends without waiting for it.
+pub fn begin(told: &Publish, house: &Arc<House>, listens: SocketAddr) -> Result<(), String> {
+    let Some(counts) = house.book.counts().cloned() else { return Ok(()) };
+    let (warrant, charter) = (&house.warrant, &house.warrant.terms.charter);
+    let worth = |product: &puffinladder::Product| product.value;
+    let who = Who {
+        instance: warrant.name.clone(),
+        incarnation: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_micros() as u64),
+        zone: told.zone.clone(),
+        address: told.address.unwrap_or(listens),
+        cores: charter.cores,
+        cold: charter.cold.then_some(charter.cold_span).filter(|span| *span > 0.0),
+        cold_share: charter.cold_share,
+        products: warrant.terms.products.iter().cloned().zip(charter.products.iter().map(worth)).collect(),
+        customers: warrant.terms.customers.clone(),
+    };
+    let (control, every) = (told.control.clone(), Duration::from_secs_f64(told.every));
+    let builder = thread::Builder::new().name("publish".into()).stack_size(house.limits.stack_recorder);
+    let house = house.clone();
+    let work = move || work(&who, &control, every, &counts, &house);
+    builder.spawn(work).map(drop).map_err(|e| format!("no thread: {e}"))
+}
+
+fn work(who: &Who, control: &[SocketAddr], every: Duration, counts: &Counts, house: &House) {
+    let begun = Instant::now();
+    let mut streams: Vec<Option<TcpStream>> = control.iter().map(|_| None).collect();
+    let mut heard = true;
+    for sequence in 1u64.. {
+        thread::sleep(every);
+        let made = begun.elapsed().as_secs_f64();
+        let line = format!("{}\n", report(who, counts, house, sequence, made, every.as_secs_f64()));
+        let mut any = false;
+        // Each service gets all: they agree on nothing among themselves.
+        for (at, stream) in control.iter().zip(&mut streams) {
+            if stream.is_none() {
+                *stream = TcpStream::connect_timeout(at, WAIT)
+                    .ok()
+                    .filter(|new| new.set_write_timeout(Some(WAIT)).is_ok() && new.set_nodelay(true).is_ok());
+            }
+            // A line that left in part can't be taken back: that connection is over.
+            let sent = stream.as_mut().is_some_and(|open| open.write_all(line.as_bytes()).is_ok());
+            *stream = stream.take().filter(|_| sent);
+            any |= sent;
+        }
+        if any != heard {
+            heard = any;
+            let what = if any { "is heard again" } else { "finds no control service, goes on without" };
+            tracing::info!("publish: {what}");
+        }
+    }
+}
+
+fn report(who: &Who, counts: &Counts, house: &House, sequence: u64, made: f64, span: f64) -> Value {
+    let state = counts.take(span);
+    let warmth = match who.cold {
+        Some(cold) => (who.cold_share + (1.0 - who.cold_share) * made / cold).min(1.0),
+        None => 1.0,
+    };
+    let class = |(product, customer, asked, declined): &(usize, usize, f64, f64)| {
+        let (name, worth) = &who.products[*product];
+        let customer = who.customers.get(*customer).map_or("", String::as_str);
+        json!({"product": name, "customer": customer, "worth": worth, "asked": asked, "declined": declined})
+    };
+    json!({
+        "instance": who.instance, "incarnation": who.incarnation, "sequence": sequence, "made": made,
+        "zone": who.zone, "address": who.address, "cores": who.cores,
+        "limit": state.limit.max(1.0), "running": house.desk.running(), "takes": state.takes,
+        "pressure": state.pressure, "retry_after": state.retry_after, "healthy": state.healthy,
+        "leaving": state.kill.map(|kill| (kill - house.clock.now()).max(0.0)), "warmth": warmth, "settled": state.settled,
+        "classes": state.classes.iter().map(class).collect::<Vec<_>>(),
+    })
+}
--- a/crates/server/src/life/recording.rs
+++ b/crates/server/src/life/recording.rs
@@ -2,12 +2,14 @@
 
 use crate::limits::Limits;
 use crate::memory::book::Book;
+use crate::memory::counts::Counts;
 use puffinladder_charter::settings::Trace;
 use puffinladder_charter::Warrant;
 use puffinladder_trace::recorder::keeper::Bounds;
 use puffinladder_trace::recorder::{Folder, Recorder, Running, Told};
 use puffinladder_trace::row::Product;
 use std::hash::{BuildHasher, RandomState};
+use std::sync::Arc;
 
 /// 32 bytes that nobody else has: chance from the system, by which the standard library seeds its maps.
 fn chance() -> [u8; 32] {
@@ -30,8 +32,9 @@
     trace: Option<&Trace>,
     warrant: &Warrant,
     limits: &Limits,
+    counts: Option<Arc<Counts>>,
 ) -> Result<(Book, Option<Running>), String> {
-    let Some(trace) = trace else { return Ok((Book::default(), None)) };
+    let Some(trace) = trace else { return Ok((Book::new(None, counts), None)) };
     let terms = &warrant.terms;
     let product = |(name, product): (&String, &puffinladder::Product)| Product {
         name: name.clone(),
@@ -61,5 +64,5 @@
     let started = Recorder::start(told, folder, limits.stack_recorder, complain);
     let (recorder, running) = started.map_err(|e| format!("no thread for the trace: {e}"))?;
     tracing::info!("a trace is written to {}", trace.folder);
-    Ok((Book::new(recorder), Some(running)))
+    Ok((Book::new(Some(recorder), counts), Some(running)))
 }
--- a/crates/server/src/memory/hands.rs
+++ b/crates/server/src/memory/hands.rs
@@ -147,6 +147,10 @@
         self.by_id.get(self.by_name.get(name)?).map(|hand| &hand.slip)
     }
 
+    pub fn running(&self) -> usize {
+        self.by_id.values().filter(|hand| hand.running).count()
+    }
+
     pub fn slips(&self) -> impl Iterator<Item = &Arc<Slip>> {
         self.by_id.values().map(|hand| &hand.slip)
     }
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -355,6 +355,7 @@
                     answer.page.step(Step::ended(outcome));
                     match outcome {
                         Outcome::Done => {
+                            answer.page.ran(took);
                             let result = Arc::new(body);
                             house.desk.ran(key, id, Some(&result));
                             answer.settle(&result);
--- /dev/null
+++ b/crates/server/tests/publish.rs
@@ -0,0 +1,92 @@
+//! Stories of a server that tells a control service what it decided.
+
+use puffinladder_control::view::Report;
+use puffinladder_toy::gateway::now;
+use puffinladder_toy::town::Town;
+use std::io::{BufRead, BufReader};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
+
+fn town(folder: &std::path::Path, control: &str) -> Town {
+    let file = folder.join("s.scm");
+    let text = format!("(publish (control \"{control}\") (zone \"east\") (every 50ms))");
+    std::fs::write(&file, text).unwrap();
+    Town::open(&["env", &format!("PUFFINLADDER_SETTINGS={}", file.display()), SERVER], |_| {})
+}
+
+struct Heard(BufReader<TcpStream>);
+
+impl Heard {
+    fn next(&mut self) -> Report {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line}"))
+    }
+    /// The first report that is as wanted.
+    fn until(&mut self, what: &str, wanted: impl Fn(&Report) -> bool) -> Report {
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let report = self.next();
+            if wanted(&report) {
+                return report;
+            }
+            assert!(Instant::now() < end, "waited in vain for {what}: {report:?}");
+        }
+    }
+}
+
+#[test]
+fn a_control_service_hears_what_was_asked_declined_and_run_and_of_the_drain_before_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = TcpListener::bind("127.0.0.1:0").unwrap();
+    let town = town(folder.path(), &control.local_addr().unwrap().to_string());
+    let mut heard = Heard(BufReader::new(control.accept().unwrap().0));
+    let first = heard.next();
+    assert_eq!((first.instance.as_str(), first.zone.as_str(), first.cores), ("toy-1", "east", 4.0));
+    assert_eq!(first.address, town.server);
+    assert!(first.healthy && first.leaving.is_none());
+    let mut gateway = town.gateway();
+    for _ in 0..20 {
+        gateway.call("quote", "", b"quick");
+        assert_eq!(gateway.answer().unwrap().word, "200");
+    }
+    let report = heard.until("runs", |r| r.settled > 0.0);
+    assert!(
+        report.takes > 0.0
+            && report.takes < 1.0
+            && report.sequence > first.sequence
+            && report.made > first.made
+    );
+    assert_eq!((report.classes[0].product.as_str(), report.classes[0].customer.as_str()), ("quote", "acme"));
+    assert!(report.classes[0].asked > 0.0 && report.limit >= 1.0);
+    gateway.call("order", &format!(",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211,s={}", now() - 5000), b"too old");
+    assert_eq!(gateway.answer().unwrap().word, "503");
+    let report = heard.until("a decline", |r| r.classes.iter().any(|c| c.declined > 0.0));
+    assert_eq!(report.classes.iter().find(|c| c.declined > 0.0).unwrap().product, "order");
+    assert!(report.retry_after > 0.0);
+    let (_, held) = gateway.call("quote", "", b"hold");
+    town.agent.hears("launch", &held);
+    heard.until("an open run", |r| r.running == 1.0);
+    town.term();
+    let report = heard.until("the drain", |r| r.leaving.is_some());
+    assert!(report.leaving.unwrap() <= 1.5 && !report.healthy);
+}
+
+#[test]
+fn without_a_control_service_a_server_serves_and_finds_it_when_it_comes() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = control.local_addr().unwrap();
+    drop(control);
+    let town = town(folder.path(), &address.to_string());
+    town.logs("finds no control service");
+    let mut gateway = town.gateway();
+    gateway.call("quote", "", b"quick");
+    assert_eq!(gateway.answer().unwrap().word, "200");
+    let control = TcpListener::bind(address).unwrap();
+    let (stream, _) = control.accept().unwrap();
+    assert_eq!(Heard(BufReader::new(stream)).next().instance, "toy-1");
+    town.logs("is heard again");
+}
--- /dev/null
+++ b/examples/proxy/src/lib.rs
@@ -0,0 +1,398 @@
+//! A stand-in for a proxy that takes its routing from an xDS control service, written from the published protocol. It
+//! keeps the lease of what it holds, counted from its own last request that a response had seen, and can be told to
+//! misbehave: to go dark, to answer late or never, to refuse, to lie about nonces.
+#![forbid(unsafe_code)]
+
+use envoy_types::pb::envoy::config::core::v3::{address, socket_address, Locality, Node};
+use envoy_types::pb::envoy::config::endpoint::v3::{lb_endpoint, ClusterLoadAssignment};
+use envoy_types::pb::envoy::config::route::v3::{header_matcher, route, RouteConfiguration};
+use envoy_types::pb::envoy::r#type::matcher::v3::string_matcher::MatchPattern;
+use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
+use envoy_types::pb::envoy::service::discovery::v3::{
+    DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse, Resource,
+};
+use envoy_types::pb::google::{protobuf::Any, rpc::Status as Fault};
+use prost::{Message, Name};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::Endpoint;
+
+pub const TYPES: [&str; 4] = [
+    "type.googleapis.com/envoy.config.cluster.v3.Cluster",
+    "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+    "type.googleapis.com/envoy.config.listener.v3.Listener",
+    "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
+];
+const ENDPOINTS: &str = TYPES[1];
+const ROUTES: &str = TYPES[3];
+
+/// How it behaves; can be changed while it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Habit {
+    /// Neither reads nor writes, its connection stands.
+    pub dark: bool,
+    /// Not connected, as if its process were down.
+    pub off: bool,
+    /// Before it answers.
+    pub ack_after: Duration,
+    pub never_acks: bool,
+    pub refuses: bool,
+    /// Answers with nonces that never were.
+    pub lies: bool,
+}
+
+/// What it holds of one type, by name.
+#[derive(Clone, Debug)]
+struct Held {
+    version: String,
+    plan: String,
+    body: Vec<u8>,
+    /// When its lease ends; none where it has none.
+    until: Option<Instant>,
+}
+
+#[derive(Default)]
+struct State {
+    held: BTreeMap<(String, String), Held>,
+    /// When each request on the present stream was sent.
+    sent: Vec<Instant>,
+    /// Responses with bodies, renewals, bytes of all, since it began.
+    responses: u64,
+    renewals: u64,
+    bytes: u64,
+    /// Plans that it saw, in the order in which they came.
+    plans: Vec<String>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Pick {
+    /// To this server, by this plan; how much of the lease was left.
+    To { server: SocketAddr, plan: String, left: Duration },
+    /// Nowhere: the plan has it dropped.
+    Dropped { plan: String },
+    /// Nowhere: nothing that it holds may be used any more.
+    Nothing,
+}
+
+/// A running stand-in.
+#[derive(Clone)]
+pub struct Proxy {
+    state: Arc<Mutex<State>>,
+    habit: watch::Sender<Habit>,
+}
+
+/// What is told of a response, of either protocol.
+struct Told {
+    kind: String,
+    plan: String,
+    nonce: String,
+    pieces: Vec<Resource>,
+    removed: Vec<String>,
+    /// All names that there are, where the response has all.
+    whole: bool,
+    size: usize,
+}
+
+impl Proxy {
+    /// Starts on the present runtime and connects there.
+    pub fn start(control: SocketAddr, node: &str, zone: &str, incremental: bool) -> Proxy {
+        let (habit, habits) = watch::channel(Habit::default());
+        let proxy = Proxy { state: Arc::default(), habit };
+        let node = Node {
+            id: node.into(),
+            locality: Some(Locality { zone: zone.into(), ..Default::default() }),
+            user_agent_name: "puffinladder stand-in".into(),
+            ..Default::default()
+        };
+        let run = proxy.clone();
+        tokio::spawn(async move {
+            let mut habits = habits;
+            loop {
+                while habits.borrow().off {
+                    if habits.changed().await.is_err() {
+                        return;
+                    }
+                }
+                let _ = run.connect(control, &node, incremental, &mut habits).await;
+                run.lock().sent.clear();
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                if habits.has_changed().is_err() {
+                    return;
+                }
+            }
+        });
+        proxy
+    }
+
+    pub fn habit(&self, habit: Habit) {
+        let _ = self.habit.send(habit);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn connect(
+        &self,
+        control: SocketAddr,
+        node: &Node,
+        incremental: bool,
+        habits: &mut watch::Receiver<Habit>,
+    ) -> Result<(), tonic::Status> {
+        let wrong = |e: tonic::transport::Error| tonic::Status::unavailable(e.to_string());
+        let endpoint = Endpoint::from_shared(format!("http://{control}")).map_err(wrong)?;
+        let channel = endpoint.connect_timeout(Duration::from_secs(1)).connect().await.map_err(wrong)?;
+        let mut client = AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(64 << 20);
+        if incremental {
+            let (out, requests) = mpsc::channel::<DeltaDiscoveryRequest>(64);
+            for kind in TYPES {
+                let held = self.lock().held.clone().into_iter().filter(|((of, _), _)| of == kind);
+                let request = DeltaDiscoveryRequest {
+                    node: Some(node.clone()),
+                    type_url: kind.into(),
+                    initial_resource_versions: held.map(|((_, name), held)| (name, held.version)).collect(),
+                    ..Default::default()
+                };
+                self.send(&out, request).await?;
+            }
+            let mut answers =
+                client.delta_aggregated_resources(ReceiverStream::new(requests)).await?.into_inner();
+            let read = |r: DeltaDiscoveryResponse| {
+                let size = r.encoded_len();
+                Told {
+                    kind: r.type_url,
+                    plan: r.system_version_info,
+                    nonce: r.nonce,
+                    pieces: r.resources,
+                    removed: r.removed_resources,
+                    whole: false,
+                    size,
+                }
+            };
+            let answer =
+                |kind: String, nonce: String, fault: Option<Fault>, _: String| DeltaDiscoveryRequest {
+                    type_url: kind,
+                    response_nonce: nonce,
+                    error_detail: fault,
+                    ..Default::default()
+                };
+            self.talk(&mut answers, &out, habits, read, answer).await
+        } else {
+            let (out, requests) = mpsc::channel::<DiscoveryRequest>(64);
+            for kind in TYPES {
+                let node = Some(node.clone());
+                let request = DiscoveryRequest { node, type_url: kind.into(), ..Default::default() };
+                self.send(&out, request).await?;
+            }
+            let mut answers =
+                client.stream_aggregated_resources(ReceiverStream::new(requests)).await?.into_inner();
+            let read = |r: DiscoveryResponse| {
+                let size = r.encoded_len();
+                let open = |any: Any| match any.type_url == Resource::type_url() {
+                    true => Resource::decode(&any.value[..]).unwrap_or_default(),
+                    false => Resource { resource: Some(any), ..Default::default() },
+                };
+                Told {
+                    kind: r.type_url,
+                    plan: r.version_info,
+                    nonce: r.nonce,
+                    pieces: r.resources.into_iter().map(open).collect(),
+                    removed: Vec::new(),
+                    whole: true,
+                    size,
+                }
+            };
+            let answer = |kind: String, nonce: String, fault: Option<Fault>, plan: String| DiscoveryRequest {
+                type_url: kind,
+                response_nonce: nonce,
+                error_detail: fault,
+                version_info: plan,
+                ..Default::default()
+            };
+            self.talk(&mut answers, &out, habits, read, answer).await
+        }
+    }
+
+    async fn send<Q>(&self, out: &mpsc::Sender<Q>, request: Q) -> Result<(), tonic::Status> {
+        self.lock().sent.push(Instant::now());
+        out.send(request).await.map_err(|_| tonic::Status::unavailable("the stream ended"))
+    }
+
+    async fn talk<A, Q>(
+        &self,
+        answers: &mut tonic::Streaming<A>,
+        out: &mpsc::Sender<Q>,
+        habits: &mut watch::Receiver<Habit>,
+        read: impl Fn(A) -> Told,
+        answer: impl Fn(String, String, Option<Fault>, String) -> Q,
+    ) -> Result<(), tonic::Status> {
+        loop {
+            let habit = *habits.borrow_and_update();
+            if habit.off {
+                return Ok(());
+            }
+            if habit.dark {
+                let _ = habits.changed().await;
+                continue;
+            }
+            let told = tokio::select! {
+                message = answers.message() => message?,
+                _ = habits.changed() => continue,
+            };
+            let Some(told) = told.map(&read) else { return Ok(()) };
+            let (kind, nonce, plan) = (told.kind.clone(), told.nonce.clone(), told.plan.clone());
+            let refused = habit.refuses && told.pieces.iter().any(|piece| piece.resource.is_some());
+            if !refused {
+                self.take(told);
+            }
+            if habit.never_acks {
+                continue;
+            }
+            tokio::time::sleep(habit.ack_after).await;
+            let nonce = if habit.lies { format!("9999{nonce}") } else { nonce };
+            let fault =
+                refused.then(|| Fault { code: 3, message: "as scripted".into(), details: Vec::new() });
+            self.send(out, answer(kind, nonce, fault, plan)).await?;
+        }
+    }
+
+    /// Takes a response in. Its lease counts from the last request that it had seen.
+    fn take(&self, told: Told) {
+        let mut state = self.lock();
+        let seen = told.nonce.split_once('.').and_then(|(_, heard)| heard.parse::<usize>().ok());
+        let since = seen.and_then(|seen| state.sent.get(seen.checked_sub(1)?).copied());
+        let since = since.unwrap_or_else(Instant::now);
+        state.bytes += told.size as u64;
+        if state.plans.last() != Some(&told.plan) {
+            state.plans.push(told.plan.clone());
+        }
+        let bodies = told.pieces.iter().filter(|piece| piece.resource.is_some()).count();
+        *if bodies > 0 { &mut state.responses } else { &mut state.renewals } += 1;
+        let mut names = Vec::new();
+        for piece in told.pieces {
+            let until = piece
+                .ttl
+                .map(|ttl| since + Duration::new(ttl.seconds.max(0) as u64, ttl.nanos.max(0) as u32));
+            let name = if piece.name.is_empty() { "only".to_owned() } else { piece.name };
+            names.push(name.clone());
+            let key = (told.kind.clone(), name);
+            match piece.resource {
+                Some(any) => {
+                    let plan = told.plan.clone();
+                    state.held.insert(key, Held { version: piece.version, plan, body: any.value, until });
+                }
+                // A lease for what it holds; never for other content.
+                None => {
+                    if let Some(held) = state.held.get_mut(&key).filter(|held| held.version == piece.version)
+                    {
+                        (held.until, held.plan) = (until, told.plan.clone());
+                    }
+                }
+            }
+        }
+        for name in told.removed {
+            state.held.remove(&(told.kind.clone(), name));
+        }
+        if told.whole {
+            state.held.retain(|(kind, name), _| *kind != told.kind || names.contains(name));
+        }
+    }
+
+    /// Where a request of this product and customer goes now; the draws, from 0 to under 1, are the caller's chance.
+    pub fn pick(&self, product: &str, customer: &str, draws: [f64; 3]) -> Pick {
+        let state = self.lock();
+        let now = Instant::now();
+        let valid = |kind: &str| {
+            let held = state.held.iter().find(|((of, _), _)| of == kind).map(|(_, held)| held)?;
+            let until = held.until?;
+            (now < until).then_some((held, until - now))
+        };
+        let (Some((endpoints, left)), Some((routes, left_too))) = (valid(ENDPOINTS), valid(ROUTES)) else {
+            return Pick::Nothing;
+        };
+        let config = RouteConfiguration::decode(&routes.body[..]).unwrap_or_default();
+        let headers = [("x-product", product), ("x-customer", customer)];
+        if dropped(&config, &headers, draws[0]) {
+            return Pick::Dropped { plan: routes.plan.clone() };
+        }
+        let told = ClusterLoadAssignment::decode(&endpoints.body[..]).unwrap_or_default();
+        match server(&told, draws[1], draws[2]) {
+            Some(server) => Pick::To { server, plan: endpoints.plan.clone(), left: left.min(left_too) },
+            None => Pick::Nothing,
+        }
+    }
+
+    /// The plan of what it holds of endpoints, whether it may still be used or not.
+    pub fn plan(&self) -> Option<String> {
+        let state = self.lock();
+        state.held.iter().find(|((kind, _), _)| kind == ENDPOINTS).map(|(_, held)| held.plan.clone())
+    }
+    /// The version of what it holds of endpoints.
+    pub fn version(&self) -> Option<String> {
+        let state = self.lock();
+        state.held.iter().find(|((kind, _), _)| kind == ENDPOINTS).map(|(_, held)| held.version.clone())
+    }
+    /// Responses with bodies, renewals, bytes.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        let state = self.lock();
+        (state.responses, state.renewals, state.bytes)
+    }
+    pub fn plans(&self) -> Vec<String> {
+        self.lock().plans.clone()
+    }
+}
+
+/// Whether the first route that matches ends in a refusal.
+fn dropped(config: &RouteConfiguration, headers: &[(&str, &str)], draw: f64) -> bool {
+    for route in config.virtual_hosts.iter().flat_map(|host| &host.routes) {
+        let Some(wanted) = &route.r#match else { continue };
+        let header = |matcher: &envoy_types::pb::envoy::config::route::v3::HeaderMatcher| {
+            let found = headers.iter().find(|(name, _)| *name == matcher.name).map(|(_, value)| *value);
+            match &matcher.header_match_specifier {
+                Some(header_matcher::HeaderMatchSpecifier::StringMatch(m)) => match &m.match_pattern {
+                    Some(MatchPattern::Exact(text)) => found == Some(text.as_str()),
+                    _ => false,
+                },
+                _ => false,
+            }
+        };
+        let part = wanted.runtime_fraction.as_ref().and_then(|f| f.default_value.as_ref());
+        let within = part.is_none_or(|part| draw * 1e6 < f64::from(part.numerator));
+        if wanted.headers.iter().all(header) && within {
+            return matches!(route.action, Some(route::Action::DirectResponse(_)));
+        }
+    }
+    false
+}
+
+/// A server by the weights of zones and then of servers.
+fn server(told: &ClusterLoadAssignment, zone: f64, endpoint: f64) -> Option<SocketAddr> {
+    let weigh =
+        |weight: &Option<envoy_types::pb::google::protobuf::UInt32Value>| weight.map_or(0, |w| w.value);
+    let zones: Vec<u32> = told.endpoints.iter().map(|z| weigh(&z.load_balancing_weight)).collect();
+    let zone = &told.endpoints[drawn(&zones, zone)?];
+    let servers: Vec<u32> = zone.lb_endpoints.iter().map(|e| weigh(&e.load_balancing_weight)).collect();
+    let chosen = &zone.lb_endpoints[drawn(&servers, endpoint)?];
+    let Some(lb_endpoint::HostIdentifier::Endpoint(endpoint)) = &chosen.host_identifier else { return None };
+    let Some(address::Address::SocketAddress(at)) = endpoint.address.as_ref()?.address.as_ref() else {
+        return None;
+    };
+    let Some(socket_address::PortSpecifier::PortValue(port)) = at.port_specifier else { return None };
+    Some(SocketAddr::new(at.address.parse().ok()?, u16::try_from(port).ok()?))
+}
+
+fn drawn(weights: &[u32], draw: f64) -> Option<usize> {
+    let mut left = draw * weights.iter().map(|w| f64::from(*w)).sum::<f64>();
+    for (at, weight) in weights.iter().enumerate().filter(|(_, weight)| **weight > 0) {
+        left -= f64::from(*weight);
+        if left < 0.0 {
+            return Some(at);
+        }
+    }
+    None
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -521,7 +521,7 @@
         let step = if gauges.sockets.unwrap_or(0.0) > self.sockets { -KEEP_STEP } else { KEEP_STEP };
         self.keep = (self.keep * (1.0 + step)).clamp(STEP.min(self.told.idle), self.told.idle);
         out.keepalive(self.keep);
-        out.limits(self.limit, self.window);
+        out.limits(self.limit, self.window, self.pressure);
         self.longest = 0.0;
         if now - self.noted > NOTE && !self.sheds.is_empty() {
             self.noted = now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -390,8 +390,9 @@
     fn keepalive(&mut self, span: f64);
     /// Ask for a round with gauges after this time.
     fn wake(&mut self, after: f64);
-    /// Runs allowed on the cores and calls kept open, told at each step; for whoever keeps a record.
-    fn limits(&mut self, _runs: f64, _calls: f64) {}
+    /// Runs allowed on the cores, calls kept open and the pressure behind the signal, from 0 to 1, told at each step; for
+    /// whoever keeps a record.
+    fn limits(&mut self, _runs: f64, _calls: f64, _pressure: f64) {}
     /// A line for the operators; rare.
     fn note(&mut self, text: &str);
 }
