--- a/crates/cli/src/control/bench.rs
+++ b/crates/cli/src/control/bench.rs
@@ -48,6 +48,7 @@
 
 pub async fn bench(proxies: &[usize], servers: usize, changes: usize) -> Done {
     planning();
+    super::fleet::compare(100);
     for count in proxies {
         for incremental in [false, true] {
             push(*count, servers, changes, incremental).await?;
--- a/crates/cli/src/control/mod.rs
+++ b/crates/cli/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! `puffinladder control`: the control service, and tools round its plan.
 
 mod bench;
+mod fleet;
 mod town;
 
 use crate::say::{Done, Wrong};
