Certificates are read anew on SIGHUP and must name their proxy; control watch

A proxy's certificate let it in under any name, and new certificates needed a restart. TLS is accepted by a listener of our own on tokio-rustls: the set in force can be swapped, a set that can't be read changes nothing, open streams stay. With a client authority a node's id must be among its certificate's DNS names. A terminal view of servers, proxies and ages.

--- a/crates/cli/src/control/mod.rs
+++ b/crates/cli/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod fleet;
 mod town;
+mod watch;
 
 use crate::say::{Done, Wrong};
 use clap::{Args, Subcommand};
@@ -49,6 +50,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Look at servers, proxies and ages of a running service on the terminal
+    #[command(after_help = "Example:\n  puffinladder control watch 127.0.0.1:18002")]
+    Watch {
+        /// Its debug view
+        debug: std::net::SocketAddr,
+    },
     /// An example on loopback: two stand-in servers, the service, two stand-in proxies; one server leaves, one slows down
     Town {
         /// s that it plays
@@ -103,6 +110,7 @@
     match line.command {
         None => serve(line.settings),
         Some(Command::Plan { views, steps, zone, json }) => plan(&views, steps, zone.as_deref(), json),
+        Some(Command::Watch { debug }) => watch::watch(debug),
         Some(Command::Town { seconds }) => runtime()?.block_on(town::town(seconds)),
         Some(Command::Bench { proxies, servers, changes }) => {
             if servers == 0 || changes == 0 || proxies.contains(&0) {
@@ -140,10 +148,17 @@
         if let Some(view) = running.debug {
             tracing::info!("debug view on http://{view}");
         }
-        let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = tokio::signal::ctrl_c() => {}
+        use tokio::signal::unix::{signal, SignalKind};
+        let (mut term, mut hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = tokio::signal::ctrl_c() => break,
+                _ = hup.recv() => match running.reload() {
+                    Ok(()) => tracing::info!("reload: new connections get the certificates as they are now"),
+                    Err(e) => tracing::error!("reload: nothing changed: {e}"),
+                },
+            }
         }
         tracing::info!("was told to leave");
         running.stop().await;
--- a/crates/control/src/serve/ads.rs
+++ b/crates/control/src/serve/ads.rs
@@ -1,6 +1,7 @@
 //! Aggregated discovery over gRPC, of both protocols: protobuf in and out, one task a stream.
 
-use super::{Desk, Tls, Word, WAITING};
+use super::tls::{self, Certificates};
+use super::{Desk, Word, WAITING};
 use crate::resources::{kind_of, type_url};
 use crate::stream::{Push, Request};
 use envoy_types::pb::envoy::config::core::v3::{ControlPlane, Node};
@@ -12,8 +13,6 @@
 };
 use envoy_types::pb::google::protobuf::{Any, Duration as Span};
 use prost::{Message, Name};
-use std::future::Future;
-use std::io;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +20,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tokio_stream::StreamExt;
-use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
+use tonic::transport::Server;
 use tonic::{Response, Status, Streaming};
 
 /// Bytes of a request: some thousand names.
@@ -37,6 +36,8 @@
     open: Arc<AtomicUsize>,
     /// How this service names itself.
     name: String,
+    /// A proxy's certificate must name its node.
+    mutual: bool,
 }
 
 /// Counts a stream for as long as it lives.
@@ -143,10 +144,12 @@
     /// Runs one stream: its requests to the core, what comes back as `make` writes it.
     async fn stream<Q: Said, A: Send + 'static>(
         &self,
-        mut said: Streaming<Q>,
+        request: tonic::Request<Streaming<Q>>,
         incremental: bool,
         make: fn(&Push, &str) -> A,
     ) -> Result<ReceiverStream<Result<A, Status>>, Status> {
+        let shown = request.peer_certs();
+        let mut said = request.into_inner();
         if self.open.fetch_add(1, Ordering::Relaxed) >= self.desk.most_proxies {
             self.open.fetch_sub(1, Ordering::Relaxed);
             return Err(Status::resource_exhausted("as many proxies as there may be"));
@@ -159,6 +162,13 @@
         let Some(node) = node else {
             return Err(Status::invalid_argument("the first request names no node"));
         };
+        if self.mutual {
+            let own = shown.as_ref().and_then(|chain| chain.first());
+            if !own.is_some_and(|own| tls::names(own, &node.id)) {
+                tracing::warn!("a proxy calls itself {:.64}, and its certificate does not", node.id);
+                return Err(Status::permission_denied("the certificate is not this node's"));
+            }
+        }
         let zone = node.locality.as_ref().map_or(String::new(), |at| at.zone.chars().take(128).collect());
         let (id, node) = (self.ids.fetch_add(1, Ordering::Relaxed), node.id.clone());
         let (out, mut pushes) = mpsc::channel::<Push>(WAITING);
@@ -199,54 +209,52 @@
         &self,
         request: tonic::Request<Streaming<DiscoveryRequest>>,
     ) -> Result<Response<Self::StreamAggregatedResourcesStream>, Status> {
-        self.stream(request.into_inner(), false, whole).await.map(Response::new)
+        self.stream(request, false, whole).await.map(Response::new)
     }
     type DeltaAggregatedResourcesStream = ReceiverStream<Result<DeltaDiscoveryResponse, Status>>;
     async fn delta_aggregated_resources(
         &self,
         request: tonic::Request<Streaming<DeltaDiscoveryRequest>>,
     ) -> Result<Response<Self::DeltaAggregatedResourcesStream>, Status> {
-        self.stream(request.into_inner(), true, differing).await.map(Response::new)
+        self.stream(request, true, differing).await.map(Response::new)
     }
 }
 
-/// What serves until the service ends.
-pub fn serve(
+/// Serves until the service ends.
+pub async fn serve(
     listener: TcpListener,
     desk: Desk,
-    tls: Option<&Tls>,
+    certificates: Option<Arc<Certificates>>,
     mut stopped: watch::Receiver<bool>,
-) -> io::Result<impl Future<Output = ()>> {
+) {
     let name = format!("puffinladder {}", env!("CARGO_PKG_VERSION"));
-    let front = Front { desk, ids: AtomicU64::new(1), open: Arc::default(), name };
+    let mutual = certificates.as_ref().is_some_and(|certificates| certificates.mutual());
+    let front = Front { desk, ids: AtomicU64::new(1), open: Arc::default(), name, mutual };
     let service = AggregatedDiscoveryServiceServer::new(front).max_decoding_message_size(MOST_REQUEST);
-    let mut server = Server::builder()
-        .http2_keepalive_interval(Some(ALIVE))
-        .http2_keepalive_timeout(Some(ALIVE))
-        .tcp_nodelay(true);
-    if let Some(tls) = tls {
-        let read = |path: &std::path::PathBuf| {
-            std::fs::read(path).map_err(|e| io::Error::other(format!("{}: {e}", path.display())))
-        };
-        let mut config =
-            ServerTlsConfig::new().identity(Identity::from_pem(read(&tls.certificate)?, read(&tls.key)?));
-        if let Some(clients) = &tls.clients {
-            config = config.client_ca_root(Certificate::from_pem(read(clients)?));
-        }
-        server = server.tls_config(config).map_err(|e| io::Error::other(format!("tls: {e}")))?;
-    }
-    let incoming = TcpListenerStream::new(listener).map(|stream| {
-        if let Ok(stream) = &stream {
-            let _ = stream.set_nodelay(true);
-        }
-        stream
-    });
-    let serving = server.add_service(service).serve_with_incoming_shutdown(incoming, async move {
+    let mut server =
+        Server::builder().http2_keepalive_interval(Some(ALIVE)).http2_keepalive_timeout(Some(ALIVE));
+    let router = server.add_service(service);
+    let told = stopped.clone();
+    let ends = async move {
         let _ = stopped.changed().await;
-    });
-    Ok(async move {
-        if let Err(e) = serving.await {
-            tracing::error!("xds: {e}");
+    };
+    let served = match certificates {
+        Some(certificates) => {
+            let (ready, incoming) = mpsc::channel(16);
+            tokio::spawn(tls::accept(listener, certificates, ready, told));
+            router.serve_with_incoming_shutdown(ReceiverStream::new(incoming), ends).await
+        }
+        None => {
+            let incoming = TcpListenerStream::new(listener).map(|stream| {
+                if let Ok(stream) = &stream {
+                    let _ = stream.set_nodelay(true);
+                }
+                stream
+            });
+            router.serve_with_incoming_shutdown(incoming, ends).await
         }
-    })
+    };
+    if let Err(e) = served {
+        tracing::error!("xds: {e}");
+    }
 }
--- a/crates/control/src/serve/mod.rs
+++ b/crates/control/src/serve/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod ads;
 pub mod reports;
+pub mod tls;
 pub mod view;
 
 use crate::core::{Core, Id, Snapshot, Told};
@@ -11,7 +12,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tls::Certificates;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, MissedTickBehavior};
@@ -123,6 +126,7 @@
     pub reports: SocketAddr,
     pub debug: Option<SocketAddr>,
     pub desk: Desk,
+    certificates: Option<Arc<Certificates>>,
     stop: watch::Sender<bool>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -135,6 +139,10 @@
             let _ = tokio::time::timeout(Duration::from_secs(2), task).await;
         }
     }
+    /// Reads certificates anew, if it has any.
+    pub fn reload(&self) -> io::Result<()> {
+        self.certificates.as_ref().map_or(Ok(()), |certificates| certificates.reload())
+    }
     /// Ends it as a kill would.
     pub fn kill(self) {
         self.tasks.iter().for_each(|task| task.abort());
@@ -168,6 +176,7 @@
         reports: reports.local_addr()?,
         debug: debug.as_ref().map(TcpListener::local_addr).transpose()?,
         desk: desk.clone(),
+        certificates: setup.tls.map(Certificates::new).transpose()?.map(Arc::new),
         stop,
         tasks: Vec::new(),
     };
@@ -175,8 +184,7 @@
         tokio::spawn(work(core, queue, setup.snapshot.clone(), stopped.clone())),
         tokio::spawn(reports::listen(reports, desk.clone(), stopped.clone())),
     ];
-    let served = ads::serve(xds, desk.clone(), setup.tls.as_ref(), stopped.clone())?;
-    tasks.push(tokio::spawn(served));
+    tasks.push(tokio::spawn(ads::serve(xds, desk.clone(), running.certificates.clone(), stopped.clone())));
     if let Some(debug) = debug {
         tasks.push(tokio::spawn(view::listen(debug, desk, stopped)));
     }
--- /dev/null
+++ b/crates/control/tests/certificates.rs
@@ -0,0 +1,135 @@
+//! Stories of certificates: who is let in, and how they are changed under way.
+
+use puffinladder_control::core::Told;
+use puffinladder_control::serve::{start, Running, Setup, Tls};
+use puffinladder_control::view::Report;
+use puffinladder_proxy::{Certificate, ClientTlsConfig, Identity, Pick, Proxy};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// An authority, made for the test.
+struct Authority {
+    pem: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    fn new() -> Authority {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(Vec::<String>::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = params.self_signed(&key).unwrap().pem();
+        Authority { pem, issuer: Issuer::new(params, key) }
+    }
+    /// Certificate and key for a name.
+    fn issue(&self, name: &str) -> (String, String) {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        (params.signed_by(&key, &self.issuer).unwrap().pem(), key.serialize_pem())
+    }
+    /// A proxy that trusts this authority and shows a certificate of another, or of this one.
+    fn proxy(&self, running: &Running, node: &str, shown: Option<(String, String)>) -> Proxy {
+        let mut tls = ClientTlsConfig::new()
+            .ca_certificate(Certificate::from_pem(&self.pem))
+            .domain_name("control.test");
+        if let Some((certificate, key)) = shown {
+            tls = tls.identity(Identity::from_pem(certificate, key));
+        }
+        Proxy::start_with(running.xds, node, "a", true, Some(tls))
+    }
+}
+
+fn write(folder: &Path, authority: &Authority) {
+    let (certificate, key) = authority.issue("control.test");
+    std::fs::write(folder.join("cert.pem"), certificate).unwrap();
+    std::fs::write(folder.join("key.pem"), key).unwrap();
+}
+
+async fn service(folder: &Path) -> Running {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let tls = Tls {
+        certificate: folder.join("cert.pem"),
+        key: folder.join("key.pem"),
+        clients: Some(folder.join("clients.pem")),
+    };
+    let mut told = Told::default();
+    told.times.settle = 0.1;
+    let setup =
+        Setup { told, xds: any, reports: any, debug: None, snapshot: None, most_proxies: 10, tls: Some(tls) };
+    let running = start(setup).await.unwrap();
+    let at = running.reports;
+    tokio::spawn(async move {
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        for sequence in 1u64.. {
+            let report = serde_json::json!({
+                "instance": "n1", "incarnation": 1, "sequence": sequence, "made": sequence as f64 * 0.1, "zone": "a",
+                "address": "127.0.0.1:4100", "cores": 4.0, "limit": 4.0, "running": 1.0, "takes": 0.01, "pressure": 0.0,
+                "retry_after": 0.25, "healthy": true, "leaving": null, "warmth": 1.0, "settled": 10.0, "classes": [],
+            });
+            let _: Report = serde_json::from_value(report.clone()).unwrap();
+            if stream.write_all(format!("{report}\n").as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    running
+}
+
+fn routes(proxy: &Proxy) -> bool {
+    matches!(proxy.pick("p", "k", [0.5; 3]), Pick::To { .. })
+}
+
+async fn until(what: &str, wanted: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !wanted() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_proxy_whose_certificate_names_it_is_let_in() {
+    let (folder, ours, strangers) = (tempfile::tempdir().unwrap(), Authority::new(), Authority::new());
+    write(folder.path(), &ours);
+    std::fs::write(folder.path().join("clients.pem"), &ours.pem).unwrap();
+    let running = service(folder.path()).await;
+    let good = ours.proxy(&running, "p1.test", Some(ours.issue("p1.test")));
+    let liar = ours.proxy(&running, "p1.test", Some(ours.issue("p2.test")));
+    let stranger = ours.proxy(&running, "p3.test", Some(strangers.issue("p3.test")));
+    let bare = ours.proxy(&running, "p4.test", None);
+    until("the good one to route", || routes(&good)).await;
+    // The others had as long, and a second more.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(routes(&good) && ![&liar, &stranger, &bare].into_iter().any(routes));
+    assert_eq!(running.desk.ask(|core, _| core.peers()).await, Some(1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn certificates_are_read_anew_streams_stay_and_a_bad_set_changes_nothing() {
+    let (folder, old, new) = (tempfile::tempdir().unwrap(), Authority::new(), Authority::new());
+    write(folder.path(), &old);
+    std::fs::write(folder.path().join("clients.pem"), &old.pem).unwrap();
+    let running = service(folder.path()).await;
+    let first = old.proxy(&running, "p1.test", Some(old.issue("p1.test")));
+    until("the first", || routes(&first)).await;
+    std::fs::write(folder.path().join("key.pem"), "half a k").unwrap();
+    let wrong = running.reload().unwrap_err().to_string();
+    assert!(wrong.contains("key.pem"), "{wrong}");
+    let second = old.proxy(&running, "p2.test", Some(old.issue("p2.test")));
+    until("one by the old certificates", || routes(&second)).await;
+    write(folder.path(), &new);
+    std::fs::write(folder.path().join("clients.pem"), &new.pem).unwrap();
+    running.reload().unwrap();
+    let third = new.proxy(&running, "p3.test", Some(new.issue("p3.test")));
+    until("one by the new certificates", || routes(&third)).await;
+    // The stream of the first has not broken.
+    assert!(routes(&first) && routes(&second));
+    let late = old.proxy(&running, "p4.test", Some(old.issue("p4.test")));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!routes(&late));
+}
--- a/examples/proxy/src/lib.rs
+++ b/examples/proxy/src/lib.rs
@@ -19,6 +19,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
+pub use tonic::transport::{Certificate, ClientTlsConfig, Identity};
+
 use tonic::transport::Endpoint;
 
 pub const TYPES: [&str; 4] = [
@@ -84,6 +86,7 @@
 pub struct Proxy {
     state: Arc<Mutex<State>>,
     habit: watch::Sender<Habit>,
+    tls: Option<ClientTlsConfig>,
 }
 
 /// What is told of a response, of either protocol.
@@ -101,8 +104,19 @@
 impl Proxy {
     /// Starts on the present runtime and connects there.
     pub fn start(control: SocketAddr, node: &str, zone: &str, incremental: bool) -> Proxy {
+        Proxy::start_with(control, node, zone, incremental, None)
+    }
+
+    /// The same over TLS.
+    pub fn start_with(
+        control: SocketAddr,
+        node: &str,
+        zone: &str,
+        incremental: bool,
+        tls: Option<ClientTlsConfig>,
+    ) -> Proxy {
         let (habit, habits) = watch::channel(Habit::default());
-        let proxy = Proxy { state: Arc::default(), habit };
+        let proxy = Proxy { state: Arc::default(), habit, tls };
         let node = Node {
             id: node.into(),
             locality: Some(Locality { zone: zone.into(), ..Default::default() }),
@@ -145,7 +159,11 @@
         habits: &mut watch::Receiver<Habit>,
     ) -> Result<(), tonic::Status> {
         let wrong = |e: tonic::transport::Error| tonic::Status::unavailable(e.to_string());
-        let endpoint = Endpoint::from_shared(format!("http://{control}")).map_err(wrong)?;
+        let scheme = if self.tls.is_some() { "https" } else { "http" };
+        let mut endpoint = Endpoint::from_shared(format!("{scheme}://{control}")).map_err(wrong)?;
+        if let Some(tls) = &self.tls {
+            endpoint = endpoint.tls_config(tls.clone()).map_err(wrong)?;
+        }
         let channel = endpoint.connect_timeout(Duration::from_secs(1)).connect().await.map_err(wrong)?;
         let mut client = AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(64 << 20);
         if incremental {
