--- a/crates/cli/src/control/bench.rs
+++ b/crates/cli/src/control/bench.rs
@@ -6,7 +6,7 @@
 use puffinladder_control::plan::Planner;
 use puffinladder_control::serve::start;
 use puffinladder_control::view::{Bounds, Report, Views};
-use puffinladder_proxy::Proxy;
+use puffinladder_proxy::{Pick, Proxy};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -57,6 +57,38 @@
     Ok(())
 }
 
+/// For three seconds, while reports go on: the oldest decision that any of the proxies could have routed by, and how often one
+/// could not route at all. A decision's age is at the most the bound less what is left of its lease.
+async fn staleness(
+    fleet: &[Proxy],
+    all: &mut [Report],
+    stream: &mut TcpStream,
+    begun: Instant,
+) -> Done<String> {
+    let bound = setup().told.lease.bound;
+    let (mut oldest, mut looks, mut nothing) = (0.0f64, 0u64, 0u64);
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        let mut lines = Vec::new();
+        for report in all.iter_mut() {
+            (report.sequence, report.made) = (report.sequence + 1, begun.elapsed().as_secs_f64());
+            serde_json::to_writer(&mut lines, report).map_err(std::io::Error::from)?;
+            lines.push(b'\n');
+        }
+        stream.write_all(&lines).await?;
+        // A few at a time: each look decodes all that the proxy holds.
+        for proxy in fleet.iter().skip(looks as usize % 7).step_by(fleet.len().div_ceil(50)) {
+            looks += 1;
+            match proxy.pick("p", "k", [0.5; 3]) {
+                Pick::To { left, .. } => oldest = oldest.max(bound - left.as_secs_f64()),
+                _ => nothing += 1,
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    Ok(format!("{oldest:.2} of {bound} s, {nothing} of {looks} looks found none"))
+}
+
 /// Changes one server's health back and forth, and waits until every proxy has said that it holds the new plan.
 async fn push(count: usize, servers: usize, changes: usize, incremental: bool) -> Done {
     let mut told = setup();
@@ -129,10 +161,11 @@
         last.push(begun.elapsed().as_secs_f64() * 1e3);
     }
     let now = bytes();
+    let oldest = staleness(&fleet, &mut all, &mut stream, begun).await?;
     let size = (now.1 - start_bytes.1) as f64 / (now.0 - start_bytes.0).max(1) as f64;
     println!(
         "{count:>5} proxies, {servers} servers, {}: a change to all acked p50 {:.0} ms p99 {:.0} ms (planned after {:.0} ms); \
-         {size:.0} bytes a response, {each:.0} KB a proxy with its stand-in",
+         {size:.0} bytes a response, {each:.0} KB a proxy with its stand-in; oldest decision used {oldest}",
         if incremental { "incremental   " } else { "whole state   " },
         percentile(&mut last, 0.5),
         percentile(&mut last, 0.99),
--- a/crates/control/tests/certificates.rs
+++ b/crates/control/tests/certificates.rs
@@ -39,7 +39,7 @@
         if let Some((certificate, key)) = shown {
             tls = tls.identity(Identity::from_pem(certificate, key));
         }
-        Proxy::start_with(running.xds, node, "a", true, Some(tls))
+        Proxy::start_with(vec![running.xds], node, "a", true, Some(tls))
     }
 }
 
--- a/examples/proxy/src/lib.rs
+++ b/examples/proxy/src/lib.rs
@@ -104,12 +104,17 @@
 impl Proxy {
     /// Starts on the present runtime and connects there.
     pub fn start(control: SocketAddr, node: &str, zone: &str, incremental: bool) -> Proxy {
+        Proxy::start_with(vec![control], node, zone, incremental, None)
+    }
+
+    /// One that knows several services, and takes the next where one fails.
+    pub fn start_among(control: Vec<SocketAddr>, node: &str, zone: &str, incremental: bool) -> Proxy {
         Proxy::start_with(control, node, zone, incremental, None)
     }
 
     /// The same over TLS.
     pub fn start_with(
-        control: SocketAddr,
+        control: Vec<SocketAddr>,
         node: &str,
         zone: &str,
         incremental: bool,
@@ -126,13 +131,13 @@
         let run = proxy.clone();
         tokio::spawn(async move {
             let mut habits = habits;
-            loop {
+            for at in (0..control.len()).cycle() {
                 while habits.borrow().off {
                     if habits.changed().await.is_err() {
                         return;
                     }
                 }
-                let _ = run.connect(control, &node, incremental, &mut habits).await;
+                let _ = run.connect(control[at], &node, incremental, &mut habits).await;
                 run.lock().sent.clear();
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 if habits.has_changed().is_err() {
