--- a/crates/control/src/serve/view.rs
+++ b/crates/control/src/serve/view.rs
@@ -6,7 +6,12 @@
 use axum::response::IntoResponse;
 use axum::routing::get;
 use axum::{Json, Router};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
 use serde_json::{json, Value};
+use std::sync::atomic::AtomicU64;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -80,13 +85,23 @@
             ),
             ("cut_total", "counter", "Streams cut", totals.cut as f64),
         ];
-        let one = |(name, kind, help, value): (&str, &str, &str, f64)| {
-            let name = format!("puffinladder_control_{name}");
-            format!("# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}\n")
-        };
-        lines.into_iter().map(one).collect::<String>()
+        let mut all = Registry::with_prefix("puffinladder_control");
+        for (name, kind, help, value) in lines {
+            if kind == "counter" {
+                let counter = Counter::<f64, AtomicU64>::default();
+                counter.inc_by(value);
+                // The library puts _total behind.
+                all.register(name.trim_end_matches("_total"), help, counter);
+            } else {
+                let gauge = Gauge::<f64, AtomicU64>::default();
+                gauge.set(value);
+                all.register(name, help, gauge);
+            }
+        }
+        let mut text = String::new();
+        encode(&mut text, &all).map(|()| text).unwrap_or_default()
     });
-    let kind = [(header::CONTENT_TYPE, "text/plain; version=0.0.4")];
+    let kind = [(header::CONTENT_TYPE, "application/openmetrics-text; version=1.0.0; charset=utf-8")];
     told.await.map(|text| (kind, text)).ok_or(StatusCode::SERVICE_UNAVAILABLE)
 }
 
