Read over: one book in the desk, stamps aged in one way, no clock read where none is kept

Each txn read the locked clock for its page though nobody recorded, the book had a clock and an age of stamps of its own beside clock.rs, the desk and the house each held the book, and the desk told record and counts apart at three places. The book stands in the desk, is told once and tells both; a folder of traces is made in one place.

--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -4,8 +4,8 @@
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Seconds of the system's clock as it stands, for stamps that other machines made.
-fn unix() -> f64 {
+/// Seconds of the system's clock as it stands, for stamps that other machines made and for records.
+pub fn unix() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
 }
 
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -22,7 +22,7 @@
     signal: Mutex<Vec<u8>>,
     /// The time of the kill, after a notice to leave.
     kill: OnceLock<f64>,
-    record: Book,
+    pub book: Book,
 }
 
 /// What becomes of a txn that is put before the module.
@@ -57,7 +57,7 @@
 }
 
 impl Desk {
-    pub fn new(brain: Brain, keys: Keys, idle: f64, record: Book) -> Desk {
+    pub fn new(brain: Brain, keys: Keys, idle: f64, book: Book) -> Desk {
         let plan = Plan {
             brain,
             hands: Hands::default(),
@@ -78,7 +78,7 @@
             good: AtomicBool::new(true),
             signal: Mutex::default(),
             kill: OnceLock::new(),
-            record,
+            book,
         }
     }
 
@@ -151,10 +151,7 @@
     /// The notice to leave: the kill comes at that time.
     pub fn leave(&self, kill: f64, now: f64) {
         self.kill.get_or_init(|| kill);
-        self.record.note(now, Topic::LEAVE, kill - now);
-        if let Some(counts) = self.record.counts() {
-            counts.leave(kill);
-        }
+        self.book.leave(now, kill);
         self.tell(|plan| plan.news.leave = Some(kill));
     }
     /// When the kill comes, after a notice to leave.
@@ -191,7 +188,7 @@
 
     /// The gauges that were asked for under a tag.
     pub fn gauges(&self, tag: u64, gauges: Gauges) {
-        self.record.gauges(&gauges);
+        self.book.gauges(&gauges);
         let mut plan = self.plan();
         if plan.asked == Some(tag) {
             plan.gauges = Some(gauges);
@@ -346,16 +343,13 @@
     }
     fn health(&mut self, good: bool, _stored: bool) {
         self.desk.good.store(good, Ordering::Relaxed);
-        self.desk.record.change(self.now, Topic::HEALTH, f64::from(u8::from(good)));
-        if let Some(counts) = self.desk.record.counts() {
-            counts.health(good);
-        }
+        self.desk.book.health(self.now, good);
     }
     fn signal(&mut self, amount: f64) {
         let mut signal = lock(&self.desk.signal);
         signal.clear();
         let _ = write!(signal, "v={amount:.4}");
-        self.desk.record.change(self.now, Topic::SIGNAL, amount);
+        self.desk.book.change(self.now, Topic::SIGNAL, amount);
     }
     fn keepalive(&mut self, span: f64) {
         *self.keep = span;
@@ -364,11 +358,7 @@
         *self.wake_at = self.now + after;
     }
     fn limits(&mut self, runs: f64, calls: f64, pressure: f64) {
-        if let Some(counts) = self.desk.record.counts() {
-            counts.limits(runs, pressure);
-        }
-        self.desk.record.change(self.now, Topic::LIMIT, runs);
-        self.desk.record.change(self.now, Topic::CALLS, calls);
+        self.desk.book.limits(self.now, runs, calls, pressure);
     }
     fn note(&mut self, text: &str) {
         tracing::info!("module: {text}");
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -10,5 +10,5 @@
 mod txn;
 mod wire;
 
-pub use life::papers::{settings, Options};
+pub use life::papers::Options;
 pub use life::run;
--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -51,7 +51,6 @@
     pub chores: Chores,
     pub alarm: Alarm,
     pub tally: Tally,
-    pub book: Book,
 }
 
 /// What the process cannot live without: if its coroutine ever ends, the process does, and is started anew.
@@ -75,7 +74,7 @@
         Arc::new(House {
             directory: Directory::new(warrant.peers),
             clock: Clock::default(),
-            desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle, book.clone()),
+            desk: Desk::new(Brain::new(charter, warrant.seed), keys, charter.idle, book),
             agent: Agent::new(limits.buffer, limits.unsent_agent),
             store: Store::default(),
             gateways: Gateways::default(),
@@ -84,7 +83,6 @@
             chores: Chores::default(),
             alarm: Alarm::default(),
             tally: Tally::default(),
-            book,
             limits,
             warrant,
         })
@@ -192,7 +190,7 @@
     let store = peers.store.map_or("nowhere".into(), |store| store.to_string());
     let found = if new { "now" } else { "still" };
     tracing::info!("reload: agent {found} at {}, roster {}, store {store}", peers.agent, peers.roster);
-    house.book.note(house.clock.now(), Topic::RELOAD, f64::from(u8::from(new)));
+    house.desk.book.note(house.clock.now(), Topic::RELOAD, f64::from(u8::from(new)));
     house.agent.look();
     house.chores.ring();
 }
--- a/crates/server/src/life/publish.rs
+++ b/crates/server/src/life/publish.rs
@@ -29,7 +29,7 @@
 
 /// Starts to publish; the process ends without waiting for it.
 pub fn begin(told: &Publish, house: &Arc<House>, listens: SocketAddr) -> Result<(), String> {
-    let Some(counts) = house.book.counts().cloned() else { return Ok(()) };
+    let Some(counts) = house.desk.book.counts().cloned() else { return Ok(()) };
     let (warrant, charter) = (&house.warrant, &house.warrant.terms.charter);
     let worth = |product: &puffinladder::Product| product.value;
     let who = Who {
--- a/crates/server/src/memory/book.rs
+++ b/crates/server/src/memory/book.rs
@@ -1,6 +1,7 @@
 //! What is written down of each txn and of the server's state, if the settings ask for a trace.
 
 use super::counts::Counts;
+use crate::clock::{age, unix};
 use crate::lock::lock;
 use crate::txn::Read;
 use puffinladder::Gauges;
@@ -9,29 +10,23 @@
 use puffinladder_trace::recorder::{Entry, Recorder};
 use puffinladder_trace::row::{Step, Topic};
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Least time between notes of one topic, s: decisions move in steps of a tenth, gauges jump about.
 const CHANGES: f64 = 0.1;
 const GAUGES: f64 = 1.0;
 
 /// Nothing is written where nobody records, and nothing counted where nobody is told.
-#[derive(Clone, Default)]
-pub struct Book(Option<Arc<Inner>>, Option<Arc<Counts>>);
+#[derive(Default)]
+pub struct Book(Option<Inner>, Option<Arc<Counts>>);
 
 struct Inner {
     recorder: Recorder,
     changes: Mutex<Changes>,
 }
 
-/// The recorder's clock: the system's, read without a lock.
-fn unix() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
-}
-
 impl Book {
     pub fn new(recorder: Option<Recorder>, counts: Option<Arc<Counts>>) -> Book {
-        let inner = recorder.map(|recorder| Arc::new(Inner { recorder, changes: Mutex::default() }));
+        let inner = recorder.map(|recorder| Inner { recorder, changes: Mutex::default() });
         Book(inner, counts)
     }
 
@@ -40,17 +35,17 @@
     }
 
     /// Begins the page of a txn that was just read.
-    pub fn page<'a>(&'a self, read: &Read, now: f64, terms: &Terms) -> Page<'a> {
+    pub fn page<'a>(&'a self, read: &Read, terms: &Terms) -> Page<'a> {
         if self.0.is_none() && self.1.is_none() {
             return Page::default();
         }
-        let news = &read.news;
+        let (news, now, unread) = (&read.news, unix(), age(read.stamp));
         let product = &terms.charter.products[news.product];
-        let due = unix() - (now - read.stamp).max(0.0) + product.sla + product.sla_stretch * news.hint;
+        let due = now - unread + product.sla + product.sla_stretch * news.hint;
         let counts = self.1.as_deref().map(|counts| (counts, counts.asked(news.product, news.customer)));
         let Some(inner) = &self.0 else { return Page { entry: None, counts, due } };
-        let mut entry = Entry::new(unix(), read.name);
-        entry.unread = (now - read.stamp).max(0.0);
+        let mut entry = Entry::new(now, read.name);
+        entry.unread = unread;
         entry.product = news.product as u16;
         entry.customer = news.customer as u32;
         (entry.caller, entry.rank, entry.hint) = (news.caller, news.rank, news.hint);
@@ -63,6 +58,25 @@
             inner.recorder.note(now, topic, value);
         }
     }
+    pub fn leave(&self, now: f64, kill: f64) {
+        self.note(now, Topic::LEAVE, kill - now);
+        if let Some(counts) = &self.1 {
+            counts.leave(kill);
+        }
+    }
+    pub fn health(&self, now: f64, good: bool) {
+        self.change(now, Topic::HEALTH, f64::from(u8::from(good)));
+        if let Some(counts) = &self.1 {
+            counts.health(good);
+        }
+    }
+    pub fn limits(&self, now: f64, runs: f64, calls: f64, pressure: f64) {
+        self.change(now, Topic::LIMIT, runs);
+        self.change(now, Topic::CALLS, calls);
+        if let Some(counts) = &self.1 {
+            counts.limits(runs, pressure);
+        }
+    }
 
     /// Notes what has changed.
     pub fn change(&self, now: f64, topic: Topic, value: f64) {
--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -183,7 +183,7 @@
 /// Gives a txn its coroutine. A process with no room for one more says so at once.
 pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, outlet: Arc<Outlet>, tag: u64) {
     let Some(life) = Life::begin(house) else {
-        let page = house.book.page(&read, house.clock.now(), &house.warrant.terms);
+        let page = house.desk.book.page(&read, &house.warrant.terms);
         Answer { house, outlet: &outlet, tag, owed: true, page }.decline(0.0, false, Reason::ProcessFull);
         return;
     };
@@ -225,7 +225,7 @@
 }
 
 fn live(house: &Arc<House>, read: Read, mut slip: Arc<Slip>, outlet: &Outlet, tag: u64) {
-    let page = house.book.page(&read, house.clock.now(), &house.warrant.terms);
+    let page = house.desk.book.page(&read, &house.warrant.terms);
     let mut answer = Answer { house, outlet, tag, owed: true, page };
     let key = read.key.as_ref();
     // Offered to the module once; again only if it waited for another that then never ran.
@@ -401,7 +401,7 @@
         let Offer::Taken(id) = house.desk.offer(&read, 0.0, &slip, 0.0) else { panic!("not taken") };
         house.desk.replay(&key, 5, &waits);
         let died = catch_unwind(AssertUnwindSafe(|| {
-            let page = house.book.page(&read, 0.0, &house.warrant.terms);
+            let page = house.desk.book.page(&read, &house.warrant.terms);
             let _answer = Answer { house: &house, outlet: &outlet, tag: 7, owed: true, page };
             let _place = Place { house: &house, key: Some(key), id, left: false };
             panic!("as a txn might");
--- a/crates/trace/src/recorder/mod.rs
+++ b/crates/trace/src/recorder/mod.rs
@@ -130,7 +130,6 @@
 
 impl Place for Folder {
     fn list(&mut self) -> io::Result<Vec<Lying>> {
-        std::fs::create_dir_all(&self.path)?;
         let mut all = Vec::new();
         for entry in std::fs::read_dir(&self.path)? {
             let entry = entry?;
