Read over: blocks of traces write themselves and are read in one way, once

Four places took a full block and wrote it by hand, cut and anonymise repeated how rows and notes of a block are read, and a block that goes over as it stands had its header read twice. Blocks hold the writer, records() reads both kinds, a block comes in one read. All tests of traces and of the command line pass, as they were.

--- a/crates/cli/src/trace/make.rs
+++ b/crates/cli/src/trace/make.rs
@@ -136,22 +136,20 @@
     mut show: impl FnMut(usize),
 ) -> Done<usize> {
     let mut writer = Writer::new(output, meta)?;
-    let mut blocks = Blocks::new(BLOCK_ROWS);
+    let mut blocks = Blocks::new(BLOCK_ROWS, &mut writer);
     let mut count = 0usize;
     while let Some(record) = maker.next(names) {
         count += 1;
-        let full = match record {
-            Record::Row(row) => blocks.row(names, row),
-            Record::Note(note) => blocks.note(names, note),
-        };
-        if let Some(block) = full {
-            writer.block(&block)?;
-            show(count);
+        match record {
+            Record::Row(row) => {
+                if blocks.row(names, row)? {
+                    show(count);
+                }
+            }
+            Record::Note(note) => blocks.note(names, note)?,
         }
     }
-    for block in blocks.rest(names) {
-        writer.block(&block)?;
-    }
+    blocks.rest(names)?;
     writer.seal()?.finish()?;
     Ok(count)
 }
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -1,12 +1,12 @@
 //! Rows of one file in the order of their reading, and of many files as one. Memory is bounded: of a file as many
 //! blocks are open as overlap, and a clock that steps back far costs the order there, not the memory.
 
-use crate::file::{Kind, Packed};
+use crate::file::{pack_notes, pack_rows, Kind, Packed, Writer};
 use crate::open::{Damage, Fault, Trace};
 use crate::row::{Names, Note, Row};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::io::{Read, Seek};
+use std::io::{self, Read, Seek, Write};
 
 /// Rows of one file that wait for earlier ones of blocks not yet read.
 const MOST_WAITING: usize = 1 << 17;
@@ -171,38 +171,51 @@
     }
 }
 
-/// Collects rows and notes into blocks of a size.
-pub struct Blocks {
-    pub rows: Vec<Row>,
-    pub notes: Vec<Note>,
+/// Collects rows and notes into blocks of a size, and writes each that is full.
+pub struct Blocks<'a, W: Write> {
+    rows: Vec<Row>,
+    notes: Vec<Note>,
     most: usize,
+    out: &'a mut Writer<W>,
 }
 
-impl Blocks {
-    pub fn new(most: usize) -> Blocks {
-        Blocks { rows: Vec::new(), notes: Vec::new(), most }
+impl<'a, W: Write> Blocks<'a, W> {
+    pub fn new(most: usize, out: &'a mut Writer<W>) -> Blocks<'a, W> {
+        Blocks { rows: Vec::new(), notes: Vec::new(), most, out }
     }
-    /// The block that is full with this row, if it is.
-    pub fn row(&mut self, names: &Names, row: Row) -> Option<Packed> {
+    /// Whether a block was full with this row, and written.
+    pub fn row(&mut self, names: &Names, row: Row) -> io::Result<bool> {
         self.rows.push(row);
-        (self.rows.len() >= self.most).then(|| self.take_rows(names)).flatten()
+        let full = self.rows.len() >= self.most;
+        if full {
+            self.out.block(&pack_rows(names, &mut self.rows))?;
+            self.rows.clear();
+        }
+        Ok(full)
     }
-    pub fn note(&mut self, names: &Names, note: Note) -> Option<Packed> {
+    pub fn note(&mut self, names: &Names, note: Note) -> io::Result<()> {
         self.notes.push(note);
-        (self.notes.len() >= self.most).then(|| self.take_notes(names)).flatten()
-    }
-    pub fn take_rows(&mut self, names: &Names) -> Option<Packed> {
-        let packed = (!self.rows.is_empty()).then(|| crate::file::pack_rows(names, &mut self.rows));
-        self.rows.clear();
-        packed
+        if self.notes.len() >= self.most {
+            self.out.block(&pack_notes(names, &mut self.notes))?;
+            self.notes.clear();
+        }
+        Ok(())
     }
-    pub fn take_notes(&mut self, names: &Names) -> Option<Packed> {
-        let packed = (!self.notes.is_empty()).then(|| crate::file::pack_notes(names, &mut self.notes));
-        self.notes.clear();
-        packed
+    /// Writes what is left.
+    pub fn rest(&mut self, names: &Names) -> io::Result<()> {
+        if !self.rows.is_empty() {
+            self.out.block(&pack_rows(names, &mut self.rows))?;
+            self.rows.clear();
+        }
+        if !self.notes.is_empty() {
+            self.out.block(&pack_notes(names, &mut self.notes))?;
+            self.notes.clear();
+        }
+        Ok(())
     }
-    /// What is left, as blocks.
-    pub fn rest(&mut self, names: &Names) -> impl Iterator<Item = Packed> {
-        [self.take_rows(names), self.take_notes(names)].into_iter().flatten()
+    /// Writes what is left, then a block that was packed elsewhere.
+    pub fn whole(&mut self, names: &Names, block: &Packed) -> io::Result<()> {
+        self.rest(names)?;
+        self.out.block(block)
     }
 }
--- a/crates/trace/src/open.rs
+++ b/crates/trace/src/open.rs
@@ -290,34 +290,44 @@
         Fault::Block { offset: entry.offset, what: bad.0 }
     }
 
-    /// The stored head and body of a block of version 2, their checksums verified.
-    fn block(&mut self, entry: &Entry, with_body: bool) -> Result<(Vec<u8>, Vec<u8>), Fault> {
+    /// A block of version 2 as it is stored, its checksums verified, and its head's length. Without its body the bytes end
+    /// behind the head.
+    fn block(&mut self, entry: &Entry, with_body: bool) -> Result<(Vec<u8>, usize), Fault> {
         let wrong = |what| Self::wrong(entry, Bad(what));
-        let header = self.bytes(entry.offset, BLOCK)?;
-        let header = BlockHeader::take(&header).ok_or(wrong("its header can't be read"))?;
+        // No length of an index is trusted further than blocks may be long.
+        let whole = usize::try_from(entry.len).unwrap_or(usize::MAX).min(BLOCK + 2 * file::MOST_STORED);
+        let mut bytes = self.bytes(entry.offset, if with_body { whole } else { BLOCK })?;
+        let header = BlockHeader::take(&bytes).ok_or(wrong("its header can't be read"))?;
         if header.whole() != entry.len || header.kind != entry.kind || header.rows != entry.rows {
             return Err(wrong("it is another than the index says"));
         }
-        let len = header.head as usize + if with_body { header.body as usize } else { 0 };
-        let mut head = self.bytes(entry.offset + BLOCK as u64, len)?;
-        if head.len() < len {
+        let head = header.head as usize;
+        if !with_body {
+            bytes.extend(self.bytes(entry.offset + BLOCK as u64, head)?);
+        }
+        if bytes.len() < BLOCK + head || with_body && bytes.len() < whole {
             return Err(wrong("it is cut off"));
         }
-        let body = head.split_off(header.head as usize);
-        if crc32c::crc32c(&head) != header.crc_head {
+        if crc32c::crc32c(&bytes[BLOCK..BLOCK + head]) != header.crc_head {
             return Err(wrong("the checksum of its head is wrong"));
         }
-        if with_body && crc32c::crc32c(&body) != header.crc_body {
+        if with_body && crc32c::crc32c(&bytes[BLOCK + head..]) != header.crc_body {
             return Err(wrong("its checksum is wrong"));
         }
-        Ok((head, body))
+        Ok((bytes, head))
+    }
+
+    /// The same with the head read, and where the body begins.
+    fn read(&mut self, entry: &Entry, names: &mut Names) -> Result<(Head, Vec<u8>, usize), Fault> {
+        let (bytes, head) = self.block(entry, true)?;
+        let body = BLOCK + head;
+        let head = block::take_head(names, &bytes[BLOCK..body]).map_err(|bad| Self::wrong(entry, bad))?;
+        Ok((head, bytes, body))
     }
 
     /// The bytes of a whole block as they stand, to be written elsewhere.
     pub fn raw(&mut self, entry: &Entry) -> Result<file::Packed, Fault> {
-        let (head, body) = self.block(entry, true)?;
-        let header = self.bytes(entry.offset, BLOCK)?;
-        let bytes = [header, head, body].concat();
+        let (bytes, _) = self.block(entry, true)?;
         Ok(file::Packed { kind: entry.kind, rows: entry.rows, from: entry.from, to: entry.to, bytes })
     }
 
@@ -332,8 +342,8 @@
             self.rows(entry, names, &mut rows)?;
             return Ok(block::pack_rows(names, &mut rows).0);
         }
-        let (head, _) = self.block(entry, false)?;
-        block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))
+        let (bytes, _) = self.block(entry, false)?;
+        block::take_head(names, &bytes[BLOCK..]).map_err(|bad| Self::wrong(entry, bad))
     }
 
     /// Enters the rows of a block behind those that are there, in the order of their reading.
@@ -351,9 +361,8 @@
             into[had..].sort_by_key(|row| row.read);
             return Ok(());
         }
-        let (head, body) = self.block(entry, true)?;
-        let head = block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))?;
-        block::take_rows(names, &head, &body, into).map_err(|bad| {
+        let (head, bytes, body) = self.read(entry, names)?;
+        block::take_rows(names, &head, &bytes[body..], into).map_err(|bad| {
             into.truncate(had);
             Self::wrong(entry, bad)
         })
@@ -371,9 +380,8 @@
                 }
             });
         }
-        let (head, body) = self.block(entry, true)?;
-        let head = block::take_head(names, &head).map_err(|bad| Self::wrong(entry, bad))?;
-        block::take_notes(&head, &body, into).map_err(|bad| {
+        let (head, bytes, body) = self.read(entry, names)?;
+        block::take_notes(&head, &bytes[body..], into).map_err(|bad| {
             into.truncate(had);
             Self::wrong(entry, bad)
         })
@@ -407,9 +415,10 @@
         let mut sizes = [0u64; 32];
         if self.major == file::MAJOR {
             for entry in self.entries.clone().iter().filter(|entry| entry.kind == Kind::Rows) {
-                let (head, body) = self.block(entry, true)?;
-                sizes[0] += (head.len() + BLOCK) as u64;
-                let sections = block::Sections::new(&body).map_err(|bad| Self::wrong(entry, bad))?;
+                let (bytes, head) = self.block(entry, true)?;
+                sizes[0] += (head + BLOCK) as u64;
+                let sections =
+                    block::Sections::new(&bytes[BLOCK + head..]).map_err(|bad| Self::wrong(entry, bad))?;
                 sections.sizes().for_each(|(id, len)| sizes[usize::from(id) % 32] += len as u64);
             }
         }
--- a/crates/trace/src/tools.rs
+++ b/crates/trace/src/tools.rs
@@ -129,6 +129,24 @@
     Ok(all)
 }
 
+/// Reads the rows or notes of a block into two empty lists. Whether they could be read; if not, the damage is named.
+fn records<R: Read + Seek>(
+    trace: &mut Trace<R>,
+    entry: &Entry,
+    names: &mut Names,
+    rows: &mut Vec<Row>,
+    notes: &mut Vec<Note>,
+    seen: &mut Seen,
+) -> Result<bool, Fault> {
+    let read = match entry.kind {
+        Kind::Rows => trace.rows(entry, names, rows),
+        _ => trace.notes(entry, names, notes),
+    };
+    let sound = damaged(read, entry, &mut seen.damage)?.is_some();
+    seen.read += usize::from(sound);
+    Ok(sound)
+}
+
 /// Writes what is meant, and the notes of the span. A block that is meant as a whole goes over as it stands.
 pub fn cut<R: Read + Seek, W: Write>(
     trace: &mut Trace<R>,
@@ -139,9 +157,9 @@
     let begin = trace.span().map_or(0, |span| span.0);
     let mut seen = Seen { damage: trace.damage.clone(), ..Seen::default() };
     let mut names = Names::default();
-    let mut blocks = Blocks::new(BLOCK_ROWS);
+    let mut blocks = Blocks::new(BLOCK_ROWS, out);
     let entries = trace.entries.clone();
-    let mut rows = Vec::new();
+    let (mut rows, mut notes) = (Vec::new(), Vec::new());
     for (at, entry) in entries.iter().enumerate() {
         progress(at, entries.len());
         if !choice.touches(entry) {
@@ -165,44 +183,25 @@
         if whole {
             let read = trace.raw(entry);
             if let Some(raw) = damaged(read, entry, &mut seen.damage)? {
-                // What was taken from blocks before goes first.
-                for block in blocks.rest(&names) {
-                    out.block(&block)?;
-                }
                 seen.rows += if entry.kind == Kind::Rows { u64::from(entry.rows) } else { 0 };
-                out.block(&raw)?;
+                blocks.whole(&names, &raw)?;
             }
             continue;
         }
-        rows.clear();
-        let mut notes = Vec::new();
-        let read = match entry.kind {
-            Kind::Rows => trace.rows(entry, &mut names, &mut rows),
-            _ => trace.notes(entry, &mut names, &mut notes),
-        };
-        if damaged(read, entry, &mut seen.damage)?.is_none() {
+        if !records(trace, entry, &mut names, &mut rows, &mut notes, &mut seen)? {
             continue;
         }
-        seen.read += 1;
         for row in rows.drain(..) {
             if choice.holds(&row, &names, begin) {
                 seen.rows += 1;
-                if let Some(block) = blocks.row(&names, row) {
-                    out.block(&block)?;
-                }
+                blocks.row(&names, row)?;
             }
         }
-        for note in notes {
-            if note.at >= choice.from && note.at < choice.to {
-                if let Some(block) = blocks.note(&names, note) {
-                    out.block(&block)?;
-                }
-            }
+        for note in notes.drain(..).filter(|note| note.at >= choice.from && note.at < choice.to) {
+            blocks.note(&names, note)?;
         }
     }
-    for block in blocks.rest(&names) {
-        out.block(&block)?;
-    }
+    blocks.rest(&names)?;
     progress(entries.len(), entries.len());
     Ok(seen)
 }
@@ -276,7 +275,6 @@
     progress: Progress,
 ) -> Result<Met, Fault> {
     let mut names = Names::default();
-    let mut blocks = Blocks::new(BLOCK_ROWS);
     let mut damage = Vec::new();
     // Notes are few: they go first, in one order.
     let mut all: Vec<Note> = Vec::new();
@@ -291,16 +289,13 @@
     let told = |n: &Note| (n.at, n.node, n.topic, n.value.to_bits());
     all.sort_by_key(told);
     all.dedup_by_key(|note| told(note));
+    let mut blocks = Blocks::new(BLOCK_ROWS, out);
     for note in all {
-        if let Some(block) = blocks.note(&names, note) {
-            out.block(&block)?;
-        }
+        blocks.note(&names, note)?;
     }
+    blocks.rest(&names)?;
     let mut merge =
         Merge::new(traces.into_iter().map(|(trace, offset)| Feed::new(trace, offset)).collect::<Vec<_>>());
-    for block in blocks.rest(&names) {
-        out.block(&block)?;
-    }
     let workers = std::thread::available_parallelism().map_or(1, |n| n.get().saturating_sub(1)).clamp(1, 4);
     std::thread::scope(|scope| -> Result<(), Fault> {
         let mut packers = Packers::new(scope, workers);
@@ -347,36 +342,23 @@
     }
     let mut veil = Veil::new(key, &counts, floor, nodes_too);
     let (mut rows, mut notes) = (Vec::new(), Vec::new());
-    let mut blocks = Blocks::new(BLOCK_ROWS);
+    let mut blocks = Blocks::new(BLOCK_ROWS, out);
     for (at, entry) in entries.iter().enumerate() {
         progress(at, entries.len());
-        rows.clear();
-        notes.clear();
-        let read = match entry.kind {
-            Kind::Rows => trace.rows(entry, &mut names, &mut rows),
-            _ => trace.notes(entry, &mut names, &mut notes),
-        };
-        if damaged(read, entry, &mut seen.damage)?.is_none() {
+        if !records(trace, entry, &mut names, &mut rows, &mut notes, &mut seen)? {
             continue;
         }
-        seen.read += 1;
         for mut row in rows.drain(..) {
             veil.row(&mut names, &mut row);
             seen.rows += 1;
-            if let Some(block) = blocks.row(&names, row) {
-                out.block(&block)?;
-            }
+            blocks.row(&names, row)?;
         }
         for mut note in notes.drain(..) {
             note.node = veil.node(&mut names, note.node);
-            if let Some(block) = blocks.note(&names, note) {
-                out.block(&block)?;
-            }
+            blocks.note(&names, note)?;
         }
     }
-    for block in blocks.rest(&names) {
-        out.block(&block)?;
-    }
+    blocks.rest(&names)?;
     progress(entries.len(), entries.len());
     Ok(seen)
 }
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -30,27 +30,18 @@
 /// A file of version 2 with so many rows a block, sealed or not.
 pub fn file(names: &Names, rows: &[Row], notes: &[Note], block: usize, seal: bool) -> Vec<u8> {
     let mut writer = Writer::new(Vec::new(), &meta("n1")).unwrap();
-    let mut blocks = Blocks::new(block);
-    let mut bytes = Vec::new();
+    let mut blocks = Blocks::new(block, &mut writer);
     for row in rows {
-        if let Some(full) = blocks.row(names, row.clone()) {
-            writer.block(&full).unwrap();
-        }
+        blocks.row(names, row.clone()).unwrap();
     }
     for note in notes {
-        if let Some(full) = blocks.note(names, *note) {
-            writer.block(&full).unwrap();
-        }
-    }
-    for rest in blocks.rest(names) {
-        writer.block(&rest).unwrap();
+        blocks.note(names, *note).unwrap();
     }
-    if seal {
-        bytes = writer.seal().unwrap();
-    } else {
+    blocks.rest(names).unwrap();
+    let whole = writer.len() as usize;
+    let mut bytes = writer.seal().unwrap();
+    if !seal {
         // What is written so far, as a kill leaves it.
-        let whole = writer.len() as usize;
-        bytes.extend(writer.seal().unwrap());
         bytes.truncate(whole);
     }
     bytes
