--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -3,7 +3,7 @@
 
 use crate::plan::{Plan, Planner};
 use crate::resources::{world, Profile, Subsets};
-use crate::stream::{Counts, Cut, Kind, Lease, Push, Request, Serial, Stream, World};
+use crate::stream::{Counts, Cut, Lease, Push, Request, Serial, Stream, World};
 use crate::view::{Bounds, Report, Verdict, Views};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -163,14 +163,7 @@
 
     pub fn close(&mut self, id: Id) {
         if let Some(peer) = self.peers.remove(&id) {
-            let (all, counts) = (&mut self.totals.ended, peer.stream.counts);
-            all.sent += counts.sent;
-            all.heartbeats += counts.heartbeats;
-            all.acked += counts.acked;
-            all.refused += counts.refused;
-            all.stale += counts.stale;
-            all.unknown += counts.unknown;
-            all.coalesced += counts.coalesced;
+            self.totals.ended += peer.stream.counts;
         }
     }
 
@@ -260,6 +253,10 @@
         (self.worlds, self.plan) = (worlds, Some(Arc::new(plan)));
     }
 
+    /// Whether there is a plan that proxies may still use.
+    pub fn holds(&self, now: f64) -> bool {
+        self.plan.as_ref().is_some_and(|plan| now - plan.made < self.told.lease.bound)
+    }
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
     }
@@ -303,16 +300,7 @@
     /// Counts of all streams, open and ended.
     pub fn counts(&self) -> Counts {
         let mut all = self.totals.ended;
-        for peer in self.peers.values() {
-            let counts = peer.stream.counts;
-            all.sent += counts.sent;
-            all.heartbeats += counts.heartbeats;
-            all.acked += counts.acked;
-            all.refused += counts.refused;
-            all.stale += counts.stale;
-            all.unknown += counts.unknown;
-            all.coalesced += counts.coalesced;
-        }
+        self.peers.values().for_each(|peer| all += peer.stream.counts);
         all
     }
     /// What proxies of a zone are to hold now, for tools.
@@ -321,6 +309,3 @@
         Some(world(self.plan.as_ref()?, self.serial, &profile, &self.told.subsets))
     }
 }
-
-/// Types that a proxy of the usual kind asks for.
-pub const USUAL: [Kind; 4] = Kind::ALL;
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -117,20 +117,14 @@
     at: f64,
 }
 
-/// What is remembered of a zone: the load that starts there, whoever serves it.
-#[derive(Clone, Debug, Default)]
-struct Source {
-    own: f64,
-    seen: bool,
-}
-
 /// Makes one plan after the other.
 #[derive(Debug, Default)]
 pub struct Planner {
     moved: HashMap<String, (u64, Moved)>,
     /// Of each life of a server, what it can carry, smoothed.
     carries: HashMap<String, (u64, f64)>,
-    sources: HashMap<String, Source>,
+    /// Of each zone the load that starts there, whoever serves it, smoothed.
+    sources: HashMap<String, f64>,
     zones: BTreeMap<String, Zone>,
     shed: Shed,
     last: Option<f64>,
@@ -206,10 +200,7 @@
         let mut held = vec![""; servers.len()];
         let mut eager = vec![false; servers.len()];
         match passed {
-            // Nobody holds anything yet, or those who did are all gone: there is nothing to move from.
-            None => weights.extend(servers.iter().map(|c| target(c))),
-            Some(_) if kept <= 0.0 => weights.extend(servers.iter().map(|c| target(c))),
-            Some(passed) => {
+            Some(passed) if kept > 0.0 => {
                 // What is stopped goes to the others in proportion, at once.
                 let base = |c: &Candidate, m: &Moved| if c.stopped.is_some() { 0.0 } else { m.weight / kept };
                 let bases: Vec<f64> = servers.iter().zip(&before).map(|(c, m)| base(c, m)).collect();
@@ -222,23 +213,23 @@
                         before[at].at > 0.0 && before[at].up != (wanted > 0.0) && now - before[at].at < TURN;
                     // A newcomer is never too near its target to begin.
                     let near = wanted.abs() <= STILL * from.max(to) && from > 0.0;
-                    (moves, held[at]) = {
-                        let (step, why) = match () {
-                            _ if c.stopped.is_some() || wanted == 0.0 => (0.0, ""),
-                            _ if near => (0.0, "near its target"),
-                            _ if turns => (0.0, "moved the other way just now"),
-                            _ if wanted.abs() > most => (wanted.clamp(-most, most), "moves step by step"),
-                            _ => (wanted, ""),
-                        };
-                        moves.push(step);
-                        (moves, why)
+                    let (step, why) = match () {
+                        _ if c.stopped.is_some() || wanted == 0.0 => (0.0, ""),
+                        _ if near => (0.0, "near its target"),
+                        _ if turns => (0.0, "moved the other way just now"),
+                        _ if wanted.abs() > most => (wanted.clamp(-most, most), "moves step by step"),
+                        _ => (wanted, ""),
                     };
+                    moves.push(step);
+                    held[at] = why;
                 }
                 let most = MOVED * passed;
                 even_out(&bases, &mut moves, &mut held, most, |at| servers[at].stopped.is_some());
                 weights.extend(bases.iter().zip(&moves).map(|(base, step)| (base + step).max(0.0)));
                 eager = moves.iter().zip(&held).map(|(step, why)| *step != 0.0 && *why != ABSORBS).collect();
             }
+            // Nobody holds anything yet, or those who did are all gone: there is nothing to move from.
+            _ => weights.extend(servers.iter().map(|c| target(c))),
         }
         for (at, c) in servers.iter().enumerate() {
             let report = c.view.report;
@@ -265,36 +256,29 @@
     fn spill(&mut self, passed: f64, zones: &mut BTreeMap<String, Zone>) {
         let fresh = 1.0 - (-passed / LOAD_SPAN).exp();
         let names: Vec<String> = zones.keys().cloned().collect();
-        let inbound = |name: &str, sources: &HashMap<String, Source>| -> f64 {
+        let inbound = |name: &str| -> f64 {
             let from = self.zones.iter().filter(|(other, _)| other.as_str() != name);
             from.map(|(other, zone)| {
-                let own = sources.get(other).map_or(0.0, |source| source.own);
+                let own = self.sources.get(other).copied().unwrap_or(0.0);
                 own * zone.spill * zone.to.get(name).copied().unwrap_or(0.0)
             })
             .sum()
         };
-        let mut own = Vec::with_capacity(names.len());
+        let mut own: HashMap<String, f64> = HashMap::with_capacity(names.len());
         for name in &names {
             let spilled = self.zones.get(name).map_or(0.0, |zone| zone.spill).min(0.99);
-            own.push(((zones[name].load - inbound(name, &self.sources)) / (1.0 - spilled)).max(0.0));
-        }
-        self.sources.retain(|name, _| zones.contains_key(name));
-        for (name, own) in names.iter().zip(own) {
-            let source = self.sources.entry(name.clone()).or_default();
-            let weight = if source.seen { fresh } else { 1.0 };
-            source.own += weight * (own - source.own);
-            source.seen = true;
+            let now = ((zones[name].load - inbound(name)) / (1.0 - spilled)).max(0.0);
+            let smooth = self.sources.get(name).map_or(now, |last| last + fresh * (now - last));
+            own.insert(name.clone(), smooth);
         }
-        let own = |name: &str, sources: &HashMap<String, Source>| sources.get(name).map_or(0.0, |s| s.own);
         let free: BTreeMap<String, f64> = names
             .iter()
-            .map(|name| (name.clone(), (ROOM * zones[name].capacity - own(name, &self.sources)).max(0.0)))
+            .map(|name| (name.clone(), (ROOM * zones[name].capacity - own[name]).max(0.0)))
             .collect();
         let all_free: f64 = free.values().sum();
-        let over: f64 =
-            names.iter().map(|n| (own(n, &self.sources) - FULL * zones[n].capacity).max(0.0)).sum();
+        let over: f64 = names.iter().map(|n| (own[n] - FULL * zones[n].capacity).max(0.0)).sum();
         for name in &names {
-            let (load, capacity) = (own(name, &self.sources), zones[name].capacity);
+            let (load, capacity) = (own[name], zones[name].capacity);
             let last = self.zones.get(name).map_or(0.0, |zone| zone.spill);
             let wanted = if load > 0.0 { (1.0 - FULL * capacity / load).max(0.0) } else { 0.0 };
             // Others have room for so much of what all want to hand over.
@@ -322,6 +306,7 @@
             zone.spill = if to.is_empty() { 0.0 } else { spill };
             (zone.to, zone.load) = (to, load);
         }
+        self.sources = own;
     }
 }
 
--- a/crates/control/src/serve/ads.rs
+++ b/crates/control/src/serve/ads.rs
@@ -12,6 +12,7 @@
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse, Resource,
 };
 use envoy_types::pb::google::protobuf::{Any, Duration as Span};
+use envoy_types::pb::google::rpc::Status as Fault;
 use prost::{Message, Name};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -55,18 +56,19 @@
     fn request(self) -> Request;
 }
 
+/// What both say of the response that they answer.
+fn answer(type_url: &str, nonce: String, fault: Option<Fault>) -> Request {
+    let fault = fault.map(|status| status.message);
+    Request { kind: kind_of(type_url), nonce, fault, ..Request::default() }
+}
+
 impl Said for DiscoveryRequest {
     fn node(&self) -> Option<&Node> {
         self.node.as_ref()
     }
     fn request(self) -> Request {
-        Request {
-            kind: kind_of(&self.type_url),
-            nonce: self.response_nonce,
-            fault: self.error_detail.map(|status| status.message),
-            names: self.resource_names,
-            ..Request::default()
-        }
+        let names = self.resource_names;
+        Request { names, ..answer(&self.type_url, self.response_nonce, self.error_detail) }
     }
 }
 
@@ -76,12 +78,10 @@
     }
     fn request(self) -> Request {
         Request {
-            kind: kind_of(&self.type_url),
-            nonce: self.response_nonce,
-            fault: self.error_detail.map(|status| status.message),
             names: self.resource_names_subscribe,
             gone: self.resource_names_unsubscribe,
             held: self.initial_resource_versions.into_iter().collect(),
+            ..answer(&self.type_url, self.response_nonce, self.error_detail)
         }
     }
 }
--- a/crates/control/src/serve/mod.rs
+++ b/crates/control/src/serve/mod.rs
@@ -9,6 +9,7 @@
 use crate::core::{Core, Id, Snapshot, Told};
 use crate::stream::{Cut, Push, Request};
 use crate::view::Report;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -17,6 +18,7 @@
 use tls::Certificates;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{interval, MissedTickBehavior};
 
 /// How the service is set up.
@@ -45,6 +47,8 @@
 const QUEUE: usize = 16_384;
 /// Responses that wait for one stream's socket: one of each type may be out.
 const WAITING: usize = 8;
+/// The way to each stream's task.
+type Streams = HashMap<Id, mpsc::Sender<Push>>;
 /// How often time passes for the core.
 const TICK: Duration = Duration::from_millis(50);
 /// How often a snapshot is written where it changed.
@@ -114,10 +118,16 @@
     }
 }
 
-fn save(path: &Path, snapshot: &Snapshot) -> io::Result<()> {
-    let part = path.with_extension("part");
-    std::fs::write(&part, serde_json::to_vec(snapshot)?)?;
-    std::fs::rename(part, path)
+/// Writes a snapshot beside the old one, then in its place. One that can't be written is told, and the service goes on.
+fn keep_snapshot(path: &Path, snapshot: &Snapshot) {
+    let save = || -> io::Result<()> {
+        let part = path.with_extension("part");
+        std::fs::write(&part, serde_json::to_vec(snapshot)?)?;
+        std::fs::rename(part, path)
+    };
+    if let Err(e) = save() {
+        tracing::warn!("snapshot: {}: {e}", path.display());
+    }
 }
 
 /// A running service.
@@ -128,7 +138,7 @@
     pub desk: Desk,
     certificates: Option<Arc<Certificates>>,
     stop: watch::Sender<bool>,
-    tasks: Vec<tokio::task::JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Running {
@@ -199,10 +209,11 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let begun = Instant::now();
-    let mut streams: std::collections::HashMap<Id, mpsc::Sender<Push>> = Default::default();
+    let mut streams = Streams::new();
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut saved, mut saved_at) = (crate::stream::Serial::default(), Instant::now());
+    let mut saving: Option<JoinHandle<()>> = None;
+    let mut saved_at = Instant::now();
     let mut words = Vec::with_capacity(256);
     loop {
         tokio::select! {
@@ -219,29 +230,27 @@
                 for (id, push) in core.tick(now) {
                     hand(&mut core, &mut streams, id, push);
                 }
-                let serial = core.serial();
-                if let (Some(path), true) = (&keep, saved_at.elapsed() >= SAVE) {
+                // One at a time, into one file.
+                let idle = saving.as_ref().is_none_or(JoinHandle::is_finished);
+                if let (Some(path), true) = (&keep, idle && saved_at.elapsed() >= SAVE) {
                     if let Some(snapshot) = core.snapshot(now, unix()) {
                         saved_at = Instant::now();
                         let path = path.clone();
                         // Off the core's task: a slow disk holds up no proxy.
-                        tokio::task::spawn_blocking(move || {
-                            if let Err(e) = save(&path, &snapshot) {
-                                tracing::warn!("snapshot: {}: {e}", path.display());
-                            }
-                        });
-                        saved = serial;
+                        saving = Some(tokio::task::spawn_blocking(move || keep_snapshot(&path, &snapshot)));
                     }
                 }
             }
             _ = stopped.changed() => {
+                if let Some(saving) = saving {
+                    let _ = saving.await;
+                }
                 let now = begun.elapsed().as_secs_f64();
                 if let (Some(path), Some(snapshot)) = (&keep, core.snapshot(now, unix())) {
-                    if let Err(e) = save(path, &snapshot) {
-                        tracing::warn!("snapshot: {}: {e}", path.display());
-                    }
+                    keep_snapshot(path, &snapshot);
                 }
-                tracing::info!("ends at plan {}.{}", saved.epoch, core.serial().number);
+                let serial = core.serial();
+                tracing::info!("ends at plan {}.{}", serial.epoch, serial.number);
                 return;
             }
         }
@@ -249,12 +258,7 @@
 }
 
 /// Hands a response to its stream's task. One whose queue is full reads too slowly, and is cut.
-fn hand(
-    core: &mut Core,
-    streams: &mut std::collections::HashMap<Id, mpsc::Sender<Push>>,
-    id: Id,
-    push: Result<Push, Cut>,
-) {
+fn hand(core: &mut Core, streams: &mut Streams, id: Id, push: Result<Push, Cut>) {
     let handed = match (push, streams.get(&id)) {
         (Ok(push), Some(out)) => out.try_send(push).is_ok(),
         _ => false,
@@ -266,12 +270,7 @@
     }
 }
 
-fn heed(
-    core: &mut Core,
-    streams: &mut std::collections::HashMap<Id, mpsc::Sender<Push>>,
-    now: f64,
-    word: Word,
-) {
+fn heed(core: &mut Core, streams: &mut Streams, now: f64, word: Word) {
     match word {
         Word::Report(report) => {
             let instance = report.instance.clone();
--- a/crates/control/src/serve/view.rs
+++ b/crates/control/src/serve/view.rs
@@ -45,8 +45,7 @@
 }
 
 async fn health(State(desk): State<Desk>) -> impl IntoResponse {
-    let bound = |core: &crate::core::Core, now: f64| core.plan().is_some_and(|plan| now - plan.made < 2.0);
-    match desk.ask(bound).await {
+    match desk.ask(|core, now| core.holds(now)).await {
         Some(true) => (StatusCode::OK, "a plan holds\n"),
         _ => (StatusCode::SERVICE_UNAVAILABLE, "no plan holds\n"),
     }
--- a/crates/control/src/stream.rs
+++ b/crates/control/src/stream.rs
@@ -145,6 +145,18 @@
     pub coalesced: u64,
 }
 
+impl std::ops::AddAssign for Counts {
+    fn add_assign(&mut self, more: Counts) {
+        self.sent += more.sent;
+        self.heartbeats += more.heartbeats;
+        self.acked += more.acked;
+        self.refused += more.refused;
+        self.stale += more.stale;
+        self.unknown += more.unknown;
+        self.coalesced += more.coalesced;
+    }
+}
+
 /// Names that one stream may ask for.
 const MOST_NAMES: usize = 10_000;
 
@@ -154,7 +166,6 @@
     serial: Serial,
     /// What the proxy holds once it agrees; none for what it drops.
     versions: Vec<(String, Option<u64>)>,
-    heartbeat: bool,
     since: f64,
 }
 
@@ -187,14 +198,8 @@
     }
     /// Whether it holds all of it and nothing else.
     fn settled(&self, set: &Set) -> bool {
-        let mut count = 0;
-        for resource in self.wanted(set) {
-            count += 1;
-            if self.holds.get(&resource.name) != Some(&resource.version) {
-                return false;
-            }
-        }
-        count == self.holds.len() || self.holds.keys().all(|name| set.contains_key(name) && self.wants(name))
+        self.wanted(set).all(|r| self.holds.get(&r.name) == Some(&r.version))
+            && self.holds.keys().all(|name| set.contains_key(name) && self.wants(name))
     }
 }
 
@@ -382,11 +387,11 @@
             true => topic.holds.keys().filter(|name| !set.contains_key(*name)).cloned().collect(),
             false => Vec::new(),
         };
-        let whole = !incremental;
-        let refused_all = pieces.is_empty() && topic.wanted(set).next().is_none() && !set.is_empty();
         topic.owed = false;
-        // All that it wants is refused content: it keeps what it has until its lease ends.
-        if refused_all && topic.names.is_none() || pieces.is_empty() && removed.is_empty() && !whole {
+        // Nothing differs, or all that it wants is refused content: it keeps what it has until its lease ends. Only where
+        // there is nothing by the names that it wants does the whole state say so.
+        let withheld = set.keys().any(|name| topic.wants(name));
+        if pieces.is_empty() && removed.is_empty() && (incremental || withheld) {
             return None;
         }
         self.sent += 1;
@@ -394,7 +399,7 @@
         let mut versions: Vec<(String, Option<u64>)> =
             pieces.iter().map(|p| (p.resource.name.clone(), Some(p.resource.version))).collect();
         versions.extend(removed.iter().map(|name| (name.clone(), None)));
-        if whole {
+        if !incremental {
             // What is not among all is gone.
             let sent: BTreeSet<&str> = pieces.iter().map(|p| p.resource.name.as_str()).collect();
             let gone =
@@ -405,7 +410,7 @@
             pieces.iter().all(|piece| piece.heartbeat) && removed.is_empty() && !pieces.is_empty();
         *if heartbeat { &mut self.counts.heartbeats } else { &mut self.counts.sent } += 1;
         let serial = world.serial;
-        let flight = Flight { nonce: nonce.clone(), serial, versions, heartbeat, since: now };
+        let flight = Flight { nonce: nonce.clone(), serial, versions, since: now };
         topic.flight = Some(flight);
         (topic.waiting, topic.sent_at) = (Serial::default(), now);
         let lease = kind.ages().then_some(left);
@@ -427,10 +432,6 @@
             !topic.asked || topic.settled(world.set(*kind))
         })
     }
-    /// Whether an answer is awaited, other than to a heartbeat.
-    pub fn awaited(&self) -> bool {
-        self.topics.iter().any(|topic| topic.flight.as_ref().is_some_and(|flight| !flight.heartbeat))
-    }
 }
 
 /// The number of a nonce of ours.
@@ -540,6 +541,22 @@
         }
     }
 
+    #[test]
+    fn a_proxy_that_named_what_it_refused_is_not_told_that_there_is_nothing() {
+        let mut stream = Stream::new(false);
+        let named = |request: Request| Request { names: vec!["e".into()], ..request };
+        stream.request(&named(ask(Kind::Endpoints))).unwrap();
+        let one = world(1, 0.0, &[("e", 1)]);
+        let push = next(&mut stream, 0.0, &one).unwrap();
+        stream.request(&named(answer(&push, None))).unwrap();
+        let two = world(2, 0.0, &[("e", 2)]);
+        let push = next(&mut stream, 0.0, &two).unwrap();
+        stream.request(&named(answer(&push, Some("no")))).unwrap();
+        assert_eq!(next(&mut stream, 1.0, &World { made: 1.0, ..two }), None);
+        // What is really gone is told as gone.
+        assert_eq!(next(&mut stream, 1.0, &world(3, 1.0, &[])).unwrap().pieces, []);
+    }
+
     #[test]
     fn stale_unknown_and_repeated_nonces_change_nothing() {
         let mut stream = Stream::new(false);
