Read over: stand-in reports, services and measures stand in one place each

Five places spelled a sound report out, three test files each started a service, its servers and its waits, two benches read memory and percentiles on their own. Report::sound, tests/common and measure.rs serve them; the stories keep their assertions.

--- a/crates/cli/src/control/bench.rs
+++ b/crates/cli/src/control/bench.rs
@@ -2,6 +2,7 @@
 //! stand-in proxies that decode what they get. Medians of one run; everything on this machine.
 
 use super::town::{report, setup};
+use crate::measure::{memory, percentile};
 use crate::say::Done;
 use puffinladder_control::plan::Planner;
 use puffinladder_control::serve::start;
@@ -12,17 +13,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-fn percentile(all: &mut [f64], share: f64) -> f64 {
-    all.sort_by(f64::total_cmp);
-    all.get(((all.len() as f64 * share) as usize).min(all.len().saturating_sub(1))).copied().unwrap_or(0.0)
-}
-
-fn memory() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
-}
-
 fn planning() {
     for count in [100, 1000, 10_000] {
         let mut views = Views::new(Bounds::default());
@@ -107,7 +97,7 @@
         }
         Ok(lines)
     };
-    let before = memory();
+    let before = memory("VmRSS:");
     let fleet: Vec<Proxy> =
         (0..count).map(|at| Proxy::start(running.xds, &format!("p{at}"), "a", incremental)).collect();
     let settled = || async {
@@ -130,7 +120,7 @@
         }
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
-    let each = (memory() - before) * 1024.0 / count as f64;
+    let each = (memory("VmRSS:") - before) * 1024.0 / count as f64;
     let bytes = || fleet.iter().map(|p| p.counts()).fold((0, 0), |sum, c| (sum.0 + c.0, sum.1 + c.2));
     let (mut first, mut last) = (Vec::new(), Vec::new());
     let start_bytes = bytes();
--- a/crates/cli/src/control/town.rs
+++ b/crates/cli/src/control/town.rs
@@ -13,25 +13,7 @@
 
 /// A report as a stand-in server makes it.
 pub fn report(at: usize, address: SocketAddr) -> Report {
-    Report {
-        instance: format!("n{at:05}"),
-        incarnation: 1,
-        sequence: 0,
-        made: 0.0,
-        zone: "a".into(),
-        address,
-        cores: 4.0,
-        limit: 4.0,
-        running: 2.0,
-        takes: 0.01,
-        pressure: 0.0,
-        retry_after: 0.25,
-        healthy: true,
-        leaving: None,
-        warmth: 1.0,
-        settled: 100.0,
-        classes: Vec::new(),
-    }
+    Report::sound(&format!("n{at:05}"), address)
 }
 
 pub fn setup() -> Setup {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod control;
+mod measure;
 mod say;
 mod trace;
 
--- a/crates/cli/src/trace/bench.rs
+++ b/crates/cli/src/trace/bench.rs
@@ -2,6 +2,7 @@
 
 use super::input::{open, Output};
 use super::make::write;
+use crate::measure::{memory, percentile};
 use crate::say::{Done, Wrong};
 use puffinladder_trace::block::column_text;
 use puffinladder_trace::file::{Kind, Meta, Writer};
@@ -17,8 +18,7 @@
 
 /// Median, least and most of some seconds.
 fn told(mut times: Vec<f64>) -> (f64, f64, f64) {
-    times.sort_by(f64::total_cmp);
-    (times[times.len() / 2], times[0], times[times.len() - 1])
+    (percentile(&mut times, 0.5), times[0], times[times.len() - 1])
 }
 
 fn timed(runs: usize, mut work: impl FnMut() -> Done) -> Done<(f64, f64, f64)> {
@@ -31,13 +31,6 @@
     Ok(told(times))
 }
 
-/// Memory of this process, MB: `VmRSS:` now, `VmHWM:` at the most so far.
-fn memory(which: &str) -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix(which));
-    line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
-}
-
 fn make(folder: &Path, told: &Synth, name: &str) -> Done<String> {
     let path = folder.join(name).display().to_string();
     let mut names = Names::default();
--- a/crates/cli/src/trace/view.rs
+++ b/crates/cli/src/trace/view.rs
@@ -171,13 +171,10 @@
         let choice = self.choice(i64::MIN, i64::MAX);
         let mut times = vec![Sums::default(); INTERVALS as usize];
         let (begin, interval) = (self.begin, self.interval);
-        let add = |times: &mut Vec<Sums>, row: &Row, names: &Names| {
+        scan(&mut self.trace, &mut self.names, &choice, &mut |_, _| {}, |row, names| {
             let at = ((row.read - begin) / interval).clamp(0, INTERVALS - 1) as usize;
             let (step, value) = (names.steps(row.path).fate().step(), row.value(names.terms(row.product)));
             times[at].add(step, 1, value);
-        };
-        scan(&mut self.trace, &mut self.names, &choice, &mut |_, _| {}, |row, names| {
-            add(&mut times, row, names);
             ControlFlow::Continue(())
         })?;
         while times.last().is_some_and(|sums| sums.asked == 0) {
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -57,6 +57,29 @@
 const MOST_CLASSES: usize = 4096;
 
 impl Report {
+    /// One of a sound, idle server of four cores, for stand-ins and tests to change.
+    pub fn sound(instance: &str, address: SocketAddr) -> Report {
+        Report {
+            instance: instance.into(),
+            incarnation: 1,
+            sequence: 0,
+            made: 0.0,
+            zone: "a".into(),
+            address,
+            cores: 4.0,
+            limit: 4.0,
+            running: 2.0,
+            takes: 0.01,
+            pressure: 0.0,
+            retry_after: 0.25,
+            healthy: true,
+            leaving: None,
+            warmth: 1.0,
+            settled: 100.0,
+            classes: Vec::new(),
+        }
+    }
+
     /// What makes it unusable, if anything.
     fn fault(&self) -> Option<&'static str> {
         let named =
@@ -280,25 +303,8 @@
 
     /// A sound server as it reports.
     pub fn report(instance: &str, sequence: u64, made: f64) -> Report {
-        Report {
-            instance: instance.into(),
-            incarnation: 10,
-            sequence,
-            made,
-            zone: "a".into(),
-            address: "127.0.0.1:4100".parse().unwrap(),
-            cores: 4.0,
-            limit: 4.0,
-            running: 2.0,
-            takes: 0.01,
-            pressure: 0.0,
-            retry_after: 0.25,
-            healthy: true,
-            leaving: None,
-            warmth: 1.0,
-            settled: 100.0,
-            classes: Vec::new(),
-        }
+        let address = "127.0.0.1:4100".parse().unwrap();
+        Report { incarnation: 10, sequence, made, ..Report::sound(instance, address) }
     }
 
     #[test]
--- a/crates/control/tests/certificates.rs
+++ b/crates/control/tests/certificates.rs
@@ -1,15 +1,13 @@
 //! Stories of certificates: who is let in, and how they are changed under way.
 
-use puffinladder_control::core::Told;
-use puffinladder_control::serve::{start, Running, Setup, Tls};
-use puffinladder_control::view::Report;
-use puffinladder_proxy::{Certificate, ClientTlsConfig, Identity, Pick, Proxy};
+mod common;
+
+use common::{report, routes, until, Servers};
+use puffinladder_control::serve::{Running, Tls};
+use puffinladder_proxy::{Certificate, ClientTlsConfig, Identity, Proxy};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
-use std::net::SocketAddr;
 use std::path::Path;
-use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use std::time::Duration;
 
 /// An authority, made for the test.
 struct Authority {
@@ -49,47 +47,16 @@
     std::fs::write(folder.join("key.pem"), key).unwrap();
 }
 
-async fn service(folder: &Path) -> Running {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+/// A service by the certificates of a folder, and a server that reports to it.
+async fn service(folder: &Path) -> (Running, Servers) {
     let tls = Tls {
         certificate: folder.join("cert.pem"),
         key: folder.join("key.pem"),
         clients: Some(folder.join("clients.pem")),
     };
-    let mut told = Told::default();
-    told.times.settle = 0.1;
-    let setup =
-        Setup { told, xds: any, reports: any, debug: None, snapshot: None, most_proxies: 10, tls: Some(tls) };
-    let running = start(setup).await.unwrap();
-    let at = running.reports;
-    tokio::spawn(async move {
-        let mut stream = TcpStream::connect(at).await.unwrap();
-        for sequence in 1u64.. {
-            let report = serde_json::json!({
-                "instance": "n1", "incarnation": 1, "sequence": sequence, "made": sequence as f64 * 0.1, "zone": "a",
-                "address": "127.0.0.1:4100", "cores": 4.0, "limit": 4.0, "running": 1.0, "takes": 0.01, "pressure": 0.0,
-                "retry_after": 0.25, "healthy": true, "leaving": null, "warmth": 1.0, "settled": 10.0, "classes": [],
-            });
-            let _: Report = serde_json::from_value(report.clone()).unwrap();
-            if stream.write_all(format!("{report}\n").as_bytes()).await.is_err() {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    });
-    running
-}
-
-fn routes(proxy: &Proxy) -> bool {
-    matches!(proxy.pick("p", "k", [0.5; 3]), Pick::To { .. })
-}
-
-async fn until(what: &str, wanted: impl Fn() -> bool) {
-    let end = Instant::now() + Duration::from_secs(20);
-    while !wanted() {
-        assert!(Instant::now() < end, "waited in vain for {what}");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let running = common::service(None, Some(tls)).await;
+    let servers = Servers::start(vec![running.reports], vec![report(1)]);
+    (running, servers)
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -97,7 +64,7 @@
     let (folder, ours, strangers) = (tempfile::tempdir().unwrap(), Authority::new(), Authority::new());
     write(folder.path(), &ours);
     std::fs::write(folder.path().join("clients.pem"), &ours.pem).unwrap();
-    let running = service(folder.path()).await;
+    let (running, _servers) = service(folder.path()).await;
     let good = ours.proxy(&running, "p1.test", Some(ours.issue("p1.test")));
     let liar = ours.proxy(&running, "p1.test", Some(ours.issue("p2.test")));
     let stranger = ours.proxy(&running, "p3.test", Some(strangers.issue("p3.test")));
@@ -115,7 +82,7 @@
     let (folder, old, new) = (tempfile::tempdir().unwrap(), Authority::new(), Authority::new());
     write(folder.path(), &old);
     std::fs::write(folder.path().join("clients.pem"), &old.pem).unwrap();
-    let running = service(folder.path()).await;
+    let (running, _servers) = service(folder.path()).await;
     let first = old.proxy(&running, "p1.test", Some(old.issue("p1.test")));
     until("the first", || routes(&first)).await;
     std::fs::write(folder.path().join("key.pem"), "half a k").unwrap();
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -152,25 +152,7 @@
 }
 
 fn report(name: &str) -> Report {
-    Report {
-        instance: name.into(),
-        incarnation: 1,
-        sequence: 0,
-        made: 0.0,
-        zone: "a".into(),
-        address: "127.0.0.1:4100".parse().unwrap(),
-        cores: 4.0,
-        limit: 4.0,
-        running: 2.0,
-        takes: 0.01,
-        pressure: 0.0,
-        retry_after: 0.25,
-        healthy: true,
-        leaving: None,
-        warmth: 1.0,
-        settled: 100.0,
-        classes: Vec::new(),
-    }
+    Report::sound(name, "127.0.0.1:4100".parse().unwrap())
 }
 
 impl Stage {
--- a/crates/control/tests/sockets.rs
+++ b/crates/control/tests/sockets.rs
@@ -1,105 +1,15 @@
 //! Stories of the service on sockets, with servers' reports and stand-in proxies on loopback.
 
-use puffinladder_control::core::Told;
-use puffinladder_control::serve::{start, Running, Setup};
-use puffinladder_control::stream::Lease;
-use puffinladder_control::view::{Class, Report};
+mod common;
+
+use common::{pick, report, routes, service, until, Servers, BOUND};
+use puffinladder_control::serve::Running;
+use puffinladder_control::view::Class;
 use puffinladder_proxy::{Habit, Pick, Proxy};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const BOUND: f64 = 1.0;
-
-fn setup(snapshot: Option<PathBuf>) -> Setup {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    let lease = Lease { bound: BOUND, heartbeat: 0.2, ..Lease::default() };
-    let mut told = Told { lease, ..Told::default() };
-    (told.times.plan, told.times.settle) = (0.1, 0.2);
-    Setup { told, xds: any, reports: any, debug: Some(any), snapshot, most_proxies: 100, tls: None }
-}
-
-fn report(at: u16) -> Report {
-    Report {
-        instance: format!("n{at}"),
-        incarnation: 1,
-        sequence: 0,
-        made: 0.0,
-        zone: "a".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 4000 + at)),
-        cores: 4.0,
-        limit: 4.0,
-        running: 2.0,
-        takes: 0.01,
-        pressure: 0.0,
-        retry_after: 0.25,
-        healthy: true,
-        leaving: None,
-        warmth: 1.0,
-        settled: 100.0,
-        classes: Vec::new(),
-    }
-}
-
-/// Servers that report ten times a second, as tests change them.
-#[derive(Clone)]
-struct Servers(Arc<Mutex<(SocketAddr, Vec<Report>)>>);
-
-impl Servers {
-    fn start(at: SocketAddr, all: Vec<Report>) -> Servers {
-        let servers = Servers(Arc::new(Mutex::new((at, all))));
-        let told = servers.clone();
-        tokio::spawn(async move {
-            let begun = Instant::now();
-            let mut stream: Option<(SocketAddr, TcpStream)> = None;
-            loop {
-                let (at, lines) = told.with(|(at, all)| {
-                    let mut lines = String::new();
-                    for report in all {
-                        (report.sequence, report.made) = (report.sequence + 1, begun.elapsed().as_secs_f64());
-                        lines += &serde_json::to_string(report).unwrap();
-                        lines.push('\n');
-                    }
-                    (*at, lines)
-                });
-                if stream.as_ref().is_none_or(|(old, _)| *old != at) {
-                    stream = TcpStream::connect(at).await.ok().map(|stream| (at, stream));
-                }
-                if let Some((_, open)) = &mut stream {
-                    if open.write_all(lines.as_bytes()).await.is_err() {
-                        stream = None;
-                    }
-                }
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        });
-        servers
-    }
-    fn with<T>(&self, change: impl FnOnce(&mut (SocketAddr, Vec<Report>)) -> T) -> T {
-        change(&mut self.0.lock().unwrap())
-    }
-    fn change(&self, change: impl Fn(&mut Report)) {
-        self.with(|(_, all)| all.iter_mut().for_each(change));
-    }
-}
-
-async fn until(what: &str, mut wanted: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(20);
-    while !wanted() {
-        assert!(Instant::now() < end, "waited in vain for {what}");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-fn pick(proxy: &Proxy, draw: f64) -> Pick {
-    proxy.pick("p", "k", [draw, 0.5, draw])
-}
-fn routes(proxy: &Proxy) -> bool {
-    matches!(pick(proxy, 0.5), Pick::To { .. })
-}
 /// Ports of the servers that it routes to.
 fn ports(proxy: &Proxy) -> Vec<u16> {
     let mut all: Vec<u16> = (0..200)
@@ -113,8 +23,8 @@
 }
 
 async fn world(servers: u16) -> (Running, Servers, Vec<Proxy>) {
-    let running = start(setup(None)).await.unwrap();
-    let servers = Servers::start(running.reports, (0..servers).map(report).collect());
+    let running = service(None, None).await;
+    let servers = Servers::start(vec![running.reports], (0..servers).map(report).collect());
     let proxies: Vec<Proxy> =
         (0..4).map(|at| Proxy::start(running.xds, &format!("p{at}"), "a", at % 2 == 0)).collect();
     until("all proxies to route", || proxies.iter().all(routes)).await;
@@ -249,25 +159,25 @@
     let folder = std::env::temp_dir().join(format!("puffinladder-control-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("snapshot.json");
-    let first = start(setup(Some(file.clone()))).await.unwrap();
-    let servers = Servers::start(first.reports, (0..3).map(report).collect());
+    let first = service(Some(file.clone()), None).await;
+    let servers = Servers::start(vec![first.reports], (0..3).map(report).collect());
     let proxy = Proxy::start(first.xds, "p", "a", true);
     until("it to route", || routes(&proxy)).await;
     let epoch = |plan: &str| plan.split_once('.').unwrap().0.parse::<u64>().unwrap();
     let before = epoch(&proxy.plan().unwrap());
     first.stop().await;
     assert!(file.exists());
-    let second = start(setup(Some(file.clone()))).await.unwrap();
+    let second = service(Some(file.clone()), None).await;
     // Before any report: its proxies get the last plan inside its bound, or nothing.
     let early = Proxy::start(second.xds, "early", "a", false);
-    servers.with(|(at, _)| *at = second.reports);
+    servers.with(|(at, _)| *at = vec![second.reports]);
     until("the new plan", || routes(&early) && ports(&early).len() == 3).await;
     assert!(epoch(&early.plan().unwrap()) > before);
     second.stop().await;
     // A snapshot that can't be read is none.
     std::fs::write(&file, b"{ half a").unwrap();
-    let third = start(setup(Some(file))).await.unwrap();
-    servers.with(|(at, _)| *at = third.reports);
+    let third = service(Some(file), None).await;
+    servers.with(|(at, _)| *at = vec![third.reports]);
     let late = Proxy::start(third.xds, "late", "a", false);
     until("a plan without a snapshot", || routes(&late)).await;
     let _ = std::fs::remove_dir_all(folder);
