Read over: what is known of a block ahead is asked in one place

Looking through a trace and cutting one each asked span, version and head on their own. ahead() tells both whether none, some or all of a block is meant.

--- a/crates/trace/src/tools.rs
+++ b/crates/trace/src/tools.rs
@@ -70,6 +70,32 @@
     }
 }
 
+/// What is known of a block without reading it: whether none, some or all of it is meant. One that is ruled out is counted,
+/// one whose head can't be read is named; neither is to be read.
+fn ahead<R: Read + Seek>(
+    trace: &mut Trace<R>,
+    names: &mut Names,
+    choice: &Choice,
+    entry: &Entry,
+    begin: i64,
+    seen: &mut Seen,
+) -> Result<Judged, Fault> {
+    let judged = if !choice.touches(entry) {
+        Judged::None
+    } else if choice.expr == Expr::All || entry.kind != Kind::Rows {
+        Judged::All
+    } else if trace.major == crate::v1::MAJOR {
+        // A head of version 1 is made from its rows: it saves nothing there.
+        Judged::Some
+    } else {
+        let head = trace.head(entry, names);
+        let Some(head) = damaged(head, entry, &mut seen.damage)? else { return Ok(Judged::None) };
+        choice.expr.judge(&head, names, begin)
+    };
+    seen.passed += usize::from(judged == Judged::None);
+    Ok(if judged == Judged::All && !choice.covers(entry) { Judged::Some } else { judged })
+}
+
 /// Gives every row that is meant to `each`, block by block, until it has enough.
 pub fn scan<R: Read + Seek>(
     trace: &mut Trace<R>,
@@ -84,18 +110,9 @@
     let mut rows = Vec::new();
     for (at, entry) in entries.iter().enumerate() {
         progress(at, entries.len());
-        if !choice.touches(entry) {
-            seen.passed += 1;
+        if ahead(trace, names, choice, entry, begin, &mut seen)? == Judged::None {
             continue;
         }
-        // A head of version 1 is made from its rows: it saves nothing there.
-        if choice.expr != Expr::All && trace.major != crate::v1::MAJOR {
-            let Some(head) = damaged(trace.head(entry, names), entry, &mut seen.damage)? else { continue };
-            if choice.expr.judge(&head, names, begin) == Judged::None {
-                seen.passed += 1;
-                continue;
-            }
-        }
         rows.clear();
         let read = trace.rows(entry, names, &mut rows);
         if damaged(read, entry, &mut seen.damage)?.is_none() {
@@ -162,24 +179,11 @@
     let (mut rows, mut notes) = (Vec::new(), Vec::new());
     for (at, entry) in entries.iter().enumerate() {
         progress(at, entries.len());
-        if !choice.touches(entry) {
-            seen.passed += 1;
-            continue;
-        }
-        let mut whole = choice.covers(entry) && trace.major == crate::file::MAJOR;
-        if entry.kind == Kind::Rows && choice.expr != Expr::All && trace.major == crate::file::MAJOR {
-            let Some(head) = damaged(trace.head(entry, &mut names), entry, &mut seen.damage)? else {
-                continue;
-            };
-            match choice.expr.judge(&head, &names, begin) {
-                Judged::None => {
-                    seen.passed += 1;
-                    continue;
-                }
-                Judged::Some => whole = false,
-                Judged::All => {}
-            }
-        }
+        let whole = match ahead(trace, &mut names, choice, entry, begin, &mut seen)? {
+            Judged::None => continue,
+            Judged::Some => false,
+            Judged::All => trace.major == crate::file::MAJOR,
+        };
         if whole {
             let read = trace.raw(entry);
             if let Some(raw) = damaged(read, entry, &mut seen.damage)? {
