--- a/crates/trace/src/codec.rs
+++ b/crates/trace/src/codec.rs
@@ -85,15 +85,6 @@
     out.extend_from_slice(bytes);
 }
 
-/// The sign moves to the lowest bit, so that small numbers of either sign stay small.
-pub fn zigzag(value: i64) -> u64 {
-    ((value << 1) ^ (value >> 63)) as u64
-}
-
-pub fn unzigzag(value: u64) -> i64 {
-    (value >> 1) as i64 ^ -((value & 1) as i64)
-}
-
 /// Significant bits that are kept of a measured span: exact below 256, within 0.2% above.
 pub const SPAN: u32 = 8;
 /// The same of what is rough by itself, hints and stamps of whole milliseconds: within 0.8%.
--- a/crates/trace/src/row.rs
+++ b/crates/trace/src/row.rs
@@ -322,23 +322,10 @@
     pub const SOCKETS: Topic = Topic(10);
     /// Records lost here since the last note of it: the writer could not keep up, or the disk failed.
     pub const DROPPED: Topic = Topic(11);
-    /// 1 when the node began to record, 0 when it sealed its file.
-    pub const RECORDING: Topic = Topic(12);
 
-    const TEXTS: [&'static str; 13] = [
-        "?",
-        "limit",
-        "calls",
-        "signal",
-        "health",
-        "leave",
-        "reload",
-        "busy",
-        "runnable",
-        "memory",
-        "sockets",
-        "dropped",
-        "recording",
+    const TEXTS: [&'static str; 12] = [
+        "?", "limit", "calls", "signal", "health", "leave", "reload", "busy", "runnable", "memory",
+        "sockets", "dropped",
     ];
 
     pub fn text(self) -> &'static str {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,9 +286,6 @@
     pub fn from_code(code: u8) -> Option<Reason> {
         Reason::ALL.get(usize::from(code)).map(|known| known.0)
     }
-    pub fn all() -> impl Iterator<Item = Reason> {
-        Reason::ALL.into_iter().map(|known| known.0)
-    }
 }
 
 /// The end of a call below, or of a run, and how long it took.
@@ -396,3 +393,16 @@
     /// A line for the operators; rare.
     fn note(&mut self, text: &str);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_reason_has_its_own_code_and_text() {
+        for (at, (reason, text)) in Reason::ALL.into_iter().enumerate() {
+            assert_eq!((usize::from(reason.code()), reason.text()), (at, text));
+            assert_eq!(Reason::from_code(reason.code()), Some(reason));
+        }
+    }
+}
