Signals come through a pipe: the serving process holds no Unix socket

Need: the standing test allows TCP and UDP over IPv4 alone. Change: flags and one pipe (life/signals.rs); the process ends if its listener for signals ever does, since it would miss its drain.

--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -6,6 +6,7 @@
 pub mod papers;
 pub mod publish;
 pub mod recording;
+pub mod signals;
 pub mod tally;
 
 use crate::clock::Clock;
@@ -27,8 +28,7 @@
 use puffinladder::{Brain, Charter};
 use puffinladder_charter::Warrant;
 use puffinladder_trace::row::Topic;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
+use signals::{Notice, Signals};
 use std::hash::RandomState;
 use std::sync::Arc;
 use std::thread;
@@ -92,7 +92,7 @@
 /// Serves until the time of the kill.
 pub fn run(told: &Options) -> Result<(), String> {
     // Heeded from the first: a signal that comes early waits until there is something to heed it.
-    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))?;
+    let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
     let papers = Papers::told(told)?;
     let settings = papers::settings(told)?;
     let warrant = papers.read()?;
@@ -163,16 +163,19 @@
 }
 
 /// Passes the first notice to leave on to the module, which has until the kill, and reloads as often as told.
-fn heed(house: &House, papers: &Papers, mut signals: Signals) {
-    for signal in signals.forever() {
-        if signal == SIGHUP {
-            reload(house, papers);
-        } else if house.desk.kill().is_none() {
+fn heed(house: &House, papers: &Papers, signals: Signals) {
+    // Deaf to its notice to leave a server would break its promises at the kill.
+    let _vital = Vital("signals");
+    let failed = signals.listen(|notice| match notice {
+        Notice::Reload => reload(house, papers),
+        Notice::Leave if house.desk.kill().is_some() => {}
+        Notice::Leave => {
             tracing::info!("{} was told to leave", house.warrant.name);
             let now = house.clock.now();
             house.desk.leave(now + house.warrant.stop, now);
         }
-    }
+    });
+    tracing::error!("signals: {failed}");
 }
 
 /// Reads the configuration anew. Where it can't be read, the old addresses stand.
