--- a/crates/server/tests/process.rs
+++ b/crates/server/tests/process.rs
@@ -92,3 +92,18 @@
     assert!(town.end().success());
     assert_eq!(town.log.lock().iter().filter(|line| line.contains("was told to leave")).count(), 1);
 }
+
+/// Coordination lives in processes of its own: nothing of it may come in through some dependency.
+#[test]
+fn the_program_links_no_consensus_no_store_and_no_second_runtime() {
+    let asked =
+        ["tree", "-p", "puffinladder-server", "-e", "normal", "--prefix", "none", "--locked", "--offline"];
+    let tree = std::process::Command::new(env!("CARGO")).args(asked).output().unwrap();
+    assert!(tree.status.success(), "{}", String::from_utf8_lossy(&tree.stderr));
+    let tree = String::from_utf8(tree.stdout).unwrap();
+    let linked: BTreeSet<&str> = tree.lines().filter_map(|line| line.split(' ').next()).collect();
+    assert!(linked.contains("may") && linked.contains("puffinladder-trace"), "{linked:?}");
+    for never in ["raft", "raft-proto", "tokio", "redb", "puffinladder-keeper", "puffinladder-owners"] {
+        assert!(!linked.contains(never), "{never}");
+    }
+}
