--- a/crates/owners/src/lib.rs
+++ b/crates/owners/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fence;
 pub mod holder;
 pub mod pace;
+pub mod quota;
 pub mod table;
 
 use serde::{Deserialize, Serialize};
