Turns to leave: no more of a fleet or a zone than may, whoever owns the turns

Need: a rolling restart relies on the operator's patience. Change: crates/owners/turns.rs, the owner's and the server's side without I/O and clock.

--- a/crates/owners/src/lib.rs
+++ b/crates/owners/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pace;
 pub mod quota;
 pub mod table;
+pub mod turns;
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
