--- a/crates/owners/src/table.rs
+++ b/crates/owners/src/table.rs
@@ -363,6 +363,12 @@
     pub rests: f64,
 }
 
+impl Part {
+    fn bars(&self, who: &str, now: f64) -> bool {
+        self.barred.iter().any(|(name, until)| name == who && *until > now)
+    }
+}
+
 impl Work {
     /// Parts that are still declared.
     fn open(&self) -> impl Iterator<Item = &Part> {
@@ -750,9 +756,7 @@
                 continue;
             }
             let now = self.now;
-            let barred = |part: u32, who: &str| {
-                work.parts[part as usize].barred.iter().any(|(name, until)| name == who && *until > now)
-            };
+            let barred = |part: u32, who: &str| work.parts[part as usize].bars(who, now);
             // What has a next owner goes there, whatever the loads: they were weighed when it was named.
             let mut given: Vec<(u32, String)> = Vec::new();
             let mut rest = Vec::new();
@@ -819,9 +823,7 @@
                 candidate.has = counts.get(candidate.instance.as_str()).copied().unwrap_or(0);
             }
             let now = self.now;
-            let barred = |part: u32, who: &str| {
-                work.parts[part as usize].barred.iter().any(|(name, until)| name == who && *until > now)
-            };
+            let barred = |part: u32, who: &str| work.parts[part as usize].bars(who, now);
             let moves = assign::level(&name, &held, work.declared.parts as usize, &candidates, room, barred);
             room -= moves.len();
             for (part, _, to) in moves {
