Read over: sent lines, parts and refusals are asked in one place; the store hides no fault

Now sent.rs, Table::grant and part_mut, Core::leading, Holder::end_of, table_of; lines are heard before the one place where things run out; the store tells what failed.

--- a/crates/keeper/src/core.rs
+++ b/crates/keeper/src/core.rs
@@ -121,11 +121,7 @@
     /// A keeper from what its disk holds. `id` must never have voted with another disk.
     pub fn new(id: u64, terms: Terms, disk: &Disk) -> Result<Core, Fault> {
         let log = Log::new(disk)?;
-        let table = if disk.shot.table.is_empty() {
-            Table::default()
-        } else {
-            postcard::from_bytes(&disk.shot.table).map_err(Fault::Table)?
-        };
+        let table = table_of(&disk.shot)?;
         let mut places = disk.shot.voters.clone();
         places.sort_unstable();
         let place = places.iter().position(|voter| *voter == id).unwrap_or(places.len());
@@ -197,7 +193,6 @@
     /// election nor goes on to lead: what it applies comes as late as its syncs.
     pub fn tick(&mut self, now: f64) {
         let slow = self.slow(now);
-        self.settle();
         if slow && self.node.raft.state == StateRole::Leader {
             let id = self.id;
             let next = self.node.raft.prs().iter().filter(|(peer, _)| **peer != id);
@@ -233,12 +228,18 @@
         self.node.step(message).map_err(|e| e.to_string())
     }
 
-    /// An instance's line. A later one of the same life takes its place: it tells all that the earlier told.
-    pub fn say(&mut self, said: Said) -> Result<(), Refusal> {
+    /// Only a keeper that leads takes lines, commands and reads.
+    fn leading(&mut self) -> Result<(), Refusal> {
         self.settle();
-        if self.lead.is_none() {
-            return Err(Refusal::NotLeading(self.leader().filter(|id| *id != self.id)));
+        match self.lead {
+            Some(_) => Ok(()),
+            None => Err(Refusal::NotLeading(self.leader().filter(|id| *id != self.id))),
         }
+    }
+
+    /// An instance's line. A later one of the same life takes its place: it tells all that the earlier told.
+    pub fn say(&mut self, said: Said) -> Result<(), Refusal> {
+        self.leading()?;
         if self.lines.len() >= puffinladder_owners::table::INSTANCES {
             return Err(Refusal::Full);
         }
@@ -251,10 +252,7 @@
 
     /// An operator's command; what came of it is told under its token.
     pub fn command(&mut self, now: f64, token: u64, command: Command) -> Result<(), Refusal> {
-        self.settle();
-        if self.lead.is_none() {
-            return Err(Refusal::NotLeading(self.leader().filter(|id| *id != self.id)));
-        }
+        self.leading()?;
         if self.commands.len() >= COMMANDS {
             return Err(Refusal::Full);
         }
@@ -268,10 +266,7 @@
 
     /// Asks that a read be answered from a table that holds all that was answered before now.
     pub fn read(&mut self, token: u64) -> Result<(), Refusal> {
-        self.settle();
-        if self.lead.is_none() {
-            return Err(Refusal::NotLeading(self.leader().filter(|id| *id != self.id)));
-        }
+        self.leading()?;
         self.node.read_index(token.to_le_bytes().to_vec());
         Ok(())
     }
@@ -285,14 +280,8 @@
         }
         self.shrink();
         let applied = self.applied;
-        let mut due = Vec::new();
-        self.reads.retain(|(index, token)| {
-            if *index <= applied {
-                due.push(*token);
-            }
-            *index > applied
-        });
-        self.out.read.extend(due);
+        let due = self.reads.extract_if(.., |(index, _)| *index <= applied);
+        self.out.read.extend(due.map(|(_, token)| token));
         Ok(std::mem::take(&mut self.out))
     }
 
@@ -316,21 +305,14 @@
             self.lead = None;
             self.lines.clear();
         }
-        let lost: Vec<u64> =
-            self.commands.iter().filter(|one| !leads || one.term != term).map(|one| one.token).collect();
-        self.commands.retain(|one| leads && one.term == term);
-        self.out.done.extend(lost.into_iter().map(|token| (token, Err(Refusal::Unknown.to_string()))));
+        let lost = self.commands.extract_if(.., |one| !leads || one.term != term);
+        self.out.done.extend(lost.map(|one| (one.token, Err(Refusal::Unknown.to_string()))));
     }
 
     fn flush(&mut self, now: f64) {
         while !self.lines.is_empty() && self.lead.as_ref().is_some_and(|lead| lead.under_way < UNDER_WAY) {
-            let mut batch = Vec::new();
-            while let Some((_, said)) = self.lines.pop_first() {
-                batch.push(said);
-                if batch.len() >= BATCH {
-                    break;
-                }
-            }
+            let batch =
+                std::iter::from_fn(|| self.lines.pop_first()).take(BATCH).map(|(_, said)| said).collect();
             self.propose(now, Command::Say(batch), Vec::new());
         }
     }
@@ -359,7 +341,7 @@
         let at_once = ready.take_messages();
         if ready.snapshot().get_metadata().index > 0 {
             let shot = Shot::of(ready.snapshot());
-            self.table = postcard::from_bytes(&shot.table).map_err(Fault::Table)?;
+            self.table = table_of(&shot)?;
             self.applied = shot.index;
             self.node.mut_store().restore(shot.clone());
             save.shot = Some(shot);
@@ -369,8 +351,7 @@
         save.entries = entries.iter().map(Kept::of).collect();
         if let Some(state) = ready.hs() {
             save.vote = Some(Vote::of(state));
-            let state = state.clone();
-            self.node.mut_store().set_state(&state);
+            self.node.mut_store().set_state(state);
         }
         let committed = ready.take_committed_entries();
         let once_saved = ready.take_persisted_messages();
@@ -472,3 +453,11 @@
         }
     }
 }
+
+/// The table in a snapshot; the first one of all has none yet.
+fn table_of(shot: &Shot) -> Result<Table, Fault> {
+    if shot.table.is_empty() {
+        return Ok(Table::default());
+    }
+    postcard::from_bytes(&shot.table).map_err(Fault::Table)
+}
--- a/crates/keeper/src/store.rs
+++ b/crates/keeper/src/store.rs
@@ -1,7 +1,7 @@
 //! A keeper's disk: one file of an embedded store with checksums, in which all saves that wait become durable together.
 //! A keeper that can't read its file must not vote: it joins anew under another number instead.
 
-use crate::log::{Disk, Kept, Save, Shot, Torn, Vote};
+use crate::log::{Disk, Kept, Save};
 use redb::{Builder, Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -12,6 +12,8 @@
 const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
 /// Version of what is written in the two tables.
 const SCHEMA: u32 = 1;
+/// What can go wrong in the store, for [`Fault`] to tell with its path.
+type Any = Box<dyn std::error::Error>;
 /// Bytes of the store that are held in memory.
 const CACHE: usize = 8 << 20;
 
@@ -75,34 +77,12 @@
             return Err(Fault::Missing { path: path.into() });
         }
         let db = open(path, false)?;
-        let torn = |what: String| Fault::Torn { path: path.into(), what };
-        let stored = |e: redb::Error| torn(e.to_string());
-        let tx = db.begin_read().map_err(|e| stored(e.into()))?;
-        let facts = tx.open_table(FACTS).map_err(|e| stored(e.into()))?;
-        fn fact<T: DeserializeOwned>(
-            facts: &impl ReadableTable<&'static str, &'static [u8]>,
-            name: &str,
-        ) -> Result<T, String> {
-            let value = facts.get(name).map_err(|e| e.to_string())?.ok_or(format!("{name} is missing"))?;
-            postcard::from_bytes(value.value()).map_err(|e| format!("{name}: {e}"))
-        }
-        let found: u32 = fact(&facts, "schema").map_err(torn)?;
+        let torn = |e: Any| Fault::Torn { path: path.into(), what: e.to_string() };
+        let found = schema(&db).map_err(torn)?;
         if found != SCHEMA {
             return Err(Fault::Schema { path: path.into(), found });
         }
-        let id: u64 = fact(&facts, "keeper").map_err(torn)?;
-        let vote: Vote = fact(&facts, "vote").map_err(torn)?;
-        let shot: Shot = fact(&facts, "shot").map_err(torn)?;
-        let mut entries = Vec::new();
-        let table = tx.open_table(ENTRIES).map_err(|e| stored(e.into()))?;
-        for row in table.iter().map_err(|e| stored(e.into()))? {
-            let (index, value) = row.map_err(|e| stored(e.into()))?;
-            let kept: Kept = postcard::from_bytes(value.value())
-                .map_err(|e| torn(format!("entry {}: {e}", index.value())))?;
-            entries.push(kept);
-        }
-        let disk = Disk { vote, shot, entries };
-        disk.check().map_err(|e: Torn| torn(e.to_string()))?;
+        let (id, disk) = read(&db).map_err(torn)?;
         Ok((Store { db, path: path.into(), id }, disk))
     }
 
@@ -127,7 +107,7 @@
                     entries.retain_in(first.index.., |_, _| false)?;
                 }
                 for entry in &save.entries {
-                    let bytes = postcard::to_allocvec(entry).unwrap_or_default();
+                    let bytes = postcard::to_allocvec(entry)?;
                     entries.insert(entry.index, bytes.as_slice())?;
                 }
                 if let Some(vote) = &save.vote {
@@ -138,17 +118,44 @@
         })
     }
 
-    fn write(
-        &self,
-        change: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
-    ) -> Result<(), Fault> {
-        let stored = |e: redb::Error| Fault::Store { path: self.path.clone(), what: e.to_string() };
-        let tx = self.db.begin_write().map_err(|e| stored(e.into()))?;
-        change(&tx).map_err(stored)?;
-        tx.commit().map_err(|e| stored(e.into()))
+    fn write(&self, change: impl FnOnce(&redb::WriteTransaction) -> Result<(), Any>) -> Result<(), Fault> {
+        let written = || -> Result<(), Any> {
+            let tx = self.db.begin_write()?;
+            change(&tx)?;
+            Ok(tx.commit()?)
+        };
+        written().map_err(|e| Fault::Store { path: self.path.clone(), what: e.to_string() })
     }
 }
 
+/// The version that a file was written as; the rest is read only if it is ours.
+fn schema(db: &Database) -> Result<u32, Any> {
+    fact(&db.begin_read()?.open_table(FACTS)?, "schema")
+}
+
+fn read(db: &Database) -> Result<(u64, Disk), Any> {
+    let tx = db.begin_read()?;
+    let facts = tx.open_table(FACTS)?;
+    let (id, vote, shot) = (fact(&facts, "keeper")?, fact(&facts, "vote")?, fact(&facts, "shot")?);
+    let mut entries: Vec<Kept> = Vec::new();
+    for row in tx.open_table(ENTRIES)?.iter()? {
+        let (index, value) = row?;
+        entries
+            .push(postcard::from_bytes(value.value()).map_err(|e| format!("entry {}: {e}", index.value()))?);
+    }
+    let disk = Disk { vote, shot, entries };
+    disk.check()?;
+    Ok((id, disk))
+}
+
+fn fact<T: DeserializeOwned>(
+    facts: &impl ReadableTable<&'static str, &'static [u8]>,
+    name: &str,
+) -> Result<T, Any> {
+    let value = facts.get(name)?.ok_or_else(|| format!("{name} is missing"))?;
+    Ok(postcard::from_bytes(value.value()).map_err(|e| format!("{name}: {e}"))?)
+}
+
 fn open(path: &Path, new: bool) -> Result<Database, Fault> {
     let mut builder = Builder::new();
     builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
@@ -163,8 +170,8 @@
     facts: &mut redb::Table<&'static str, &'static [u8]>,
     name: &str,
     value: &T,
-) -> Result<(), redb::Error> {
-    let bytes = postcard::to_allocvec(value).unwrap_or_default();
+) -> Result<(), Any> {
+    let bytes = postcard::to_allocvec(value)?;
     facts.insert(name, bytes.as_slice())?;
     Ok(())
 }
@@ -172,6 +179,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::log::{Shot, Vote};
 
     fn kept(index: u64, term: u64) -> Kept {
         Kept { index, term, kind: 0, data: vec![7; 300], context: Vec::new() }
--- a/crates/owners/src/assign.rs
+++ b/crates/owners/src/assign.rs
@@ -30,8 +30,8 @@
 
 /// The most parts that one of `among` may have of so many.
 pub fn most(parts: usize, among: usize) -> usize {
-    (MOST * parts as f64 / among.max(1) as f64).floor().max((parts as f64 / among.max(1) as f64).ceil())
-        as usize
+    let mean = parts as f64 / among.max(1) as f64;
+    (MOST * mean).floor().max(mean.ceil()) as usize
 }
 
 /// The fewest before parts are moved to it: nobody stands idle while another has two.
--- a/crates/owners/src/holder.rs
+++ b/crates/owners/src/holder.rs
@@ -4,9 +4,10 @@
 //! The term counts from when a line was sent: whatever the network did to it, the keepers count from later. A process that was stopped
 //! finds out at its first look, since every look compares the clock with what the last answered line allows.
 
+use crate::sent::Sent;
 use crate::table::{Granted, Mark, Refused, Said, Told};
 use crate::{Duty, Epoch, Owner};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Share of the term after which a line is due; four may fail before a grant runs out.
 pub const RENEW: f64 = 0.2;
@@ -71,8 +72,7 @@
     zone: String,
     wants: BTreeSet<String>,
     leaving: bool,
-    serial: u64,
-    sent: VecDeque<(u64, f64)>,
+    sent: Sent,
     /// Until when the last answered line allows to believe in grants.
     until: f64,
     term: f64,
@@ -95,8 +95,7 @@
             zone: zone.into(),
             wants: wants.into_iter().collect(),
             leaving: false,
-            serial: 0,
-            sent: VecDeque::new(),
+            sent: Sent::after(0, SENT),
             until: f64::MIN,
             term,
             heard: (0, 0),
@@ -144,22 +143,18 @@
             return None;
         }
         (self.asked, self.urgent) = (Some(now), false);
-        self.serial += 1;
-        self.sent.push_back((self.serial, now));
-        if self.sent.len() > SENT {
-            self.sent.pop_front();
-        }
+        let serial = self.sent.send(now);
         let mut marks = Vec::new();
         for (duty, held) in &mut self.held {
             if let Some(told) = &mut held.news {
-                *told = if *told == 0 { self.serial } else { *told };
+                *told = if *told == 0 { serial } else { *told };
                 marks.push(Mark { duty: duty.clone(), epoch: held.epoch, done: held.done, work: held.work });
             }
         }
         Some(Said {
             owner: self.me.clone(),
             zone: self.zone.clone(),
-            serial: self.serial,
+            serial,
             wants: self.wants.clone(),
             leaving: self.leaving,
             marks,
@@ -182,11 +177,11 @@
             return acts;
         }
         // An answer to a line that was never sent, or older than what is known, says nothing.
-        if told.serial > self.serial || (told.serial, told.version) < self.heard {
+        if told.serial > self.sent.last() || (told.serial, told.version) < self.heard {
             return acts;
         }
         self.over = None;
-        let sent = self.sent.iter().find(|(serial, _)| *serial == told.serial).map(|(_, at)| *at);
+        let sent = self.sent.at(told.serial);
         let before = self.until;
         // Without the list only that much is known: nothing changed since the version that was told along.
         let whole = told.grants.is_some() || told.version == self.heard.1;
@@ -200,7 +195,6 @@
         }
         if told.serial > self.heard.0 {
             // That line was heard with all it said.
-            self.sent.retain(|(serial, _)| *serial >= told.serial);
             for held in self.held.values_mut() {
                 held.news = held.news.filter(|line| *line == 0 || *line > told.serial);
             }
@@ -259,22 +253,20 @@
 
     /// Looks at the clock: what has run out is dropped.
     pub fn look(&mut self, now: f64) -> Vec<Act> {
-        let over = |held: &Held| now >= held.back.map_or(self.until, |back| back.min(self.until));
+        let over = |held: &Held| now >= self.end_of(held);
         let ended: Vec<Duty> =
             self.held.iter().filter(|(_, h)| over(h)).map(|(duty, _)| duty.clone()).collect();
         ended.iter().filter_map(|duty| self.down(duty, Why::TermOver)).collect()
     }
 
-    /// When the next grant runs out.
-    pub fn ends(&self) -> Option<f64> {
-        let ends = self.held.values().map(|held| held.back.map_or(self.until, |back| back.min(self.until)));
-        ends.min_by(f64::total_cmp)
+    /// Until when a grant may be believed in.
+    fn end_of(&self, held: &Held) -> f64 {
+        held.back.map_or(self.until, |back| back.min(self.until))
     }
 
     pub fn stage(&self, now: f64, duty: &Duty) -> Stage {
         let Some(held) = self.held.get(duty) else { return Stage::Down };
-        let until = held.back.map_or(self.until, |back| back.min(self.until));
-        match until - now {
+        match self.end_of(held) - now {
             left if left <= 0.0 => Stage::Down,
             _ if held.back.is_some() || self.leaving => Stage::Yields,
             left if left < DOUBT * self.term => Stage::Doubts,
--- a/crates/owners/src/lib.rs
+++ b/crates/owners/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod holder;
 pub mod pace;
 pub mod quota;
+pub mod sent;
 pub mod table;
 pub mod turns;
 
--- a/crates/owners/src/quota.rs
+++ b/crates/owners/src/quota.rs
@@ -5,6 +5,7 @@
 //! What is in force sums to no more than the quota, but for servers that start anew: they know of no part and begin with
 //! the equal share, which the owner hears with their first report.
 
+use crate::sent::Sent;
 use crate::Epoch;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -14,6 +15,8 @@
 const LINGER: f64 = 2.1;
 /// Share of its span at which a grant is too old to be taken.
 const STALE: f64 = 0.9;
+/// Reports of a server that may be unanswered and still be counted from.
+const SENT: usize = 32;
 /// Weight of a new report in a server's learned demand.
 const NEW: f64 = 0.3;
 /// Demand is planned with so much room above it: it moves until the next plan.
@@ -49,29 +52,24 @@
 pub struct Share {
     equal: f64,
     held: Option<(Part, f64)>,
-    sent: BTreeMap<u64, f64>,
-    reports: u64,
+    sent: Sent,
 }
 
 impl Share {
     pub fn new(quota: f64, servers: f64) -> Share {
-        Share { equal: quota / servers.max(1.0), held: None, sent: BTreeMap::new(), reports: 0 }
+        Share { equal: quota / servers.max(1.0), held: None, sent: Sent::after(0, SENT) }
     }
 
     /// A report that is sent now: its number and what it holds.
     pub fn report(&mut self, now: f64) -> (u64, Option<(Epoch, u64)>) {
-        self.reports += 1;
-        self.sent.insert(self.reports, now);
-        while self.sent.len() > 32 {
-            self.sent.pop_first();
-        }
+        let report = self.sent.send(now);
         let valid = self.held.as_ref().filter(|(_, until)| now < *until);
-        (self.reports, valid.map(|(part, _)| (part.epoch, part.number)))
+        (report, valid.map(|(part, _)| (part.epoch, part.number)))
     }
 
     /// Takes a part, unless a later one was taken, its report is not known here, or it is stale.
     pub fn take(&mut self, now: f64, part: &Part) -> bool {
-        let Some(sent) = self.sent.get(&part.report).copied() else { return false };
+        let Some(sent) = self.sent.at(part.report) else { return false };
         let newer = |(held, _): &(Part, f64)| (held.epoch, held.number) >= (part.epoch, part.number);
         let fit = part.rate >= 0.0 && part.rate.is_finite() && part.span > 0.0 && part.span.is_finite();
         if !fit || self.held.as_ref().is_some_and(newer) || now - sent > STALE * part.span {
--- a/crates/owners/src/table.rs
+++ b/crates/owners/src/table.rs
@@ -395,8 +395,15 @@
 
     /// Who owns a part now, by the table: its owner may know better that it no longer does.
     pub fn owner(&self, duty: &Duty) -> Option<(&Owner, Epoch)> {
-        let part = self.works.get(&duty.name)?.parts.get(duty.part as usize)?;
-        part.grant.as_ref().map(|grant| (&grant.owner, grant.epoch))
+        self.grant(duty).map(|grant| (&grant.owner, grant.epoch))
+    }
+
+    fn grant(&self, duty: &Duty) -> Option<&Grant> {
+        self.works.get(&duty.name)?.parts.get(duty.part as usize)?.grant.as_ref()
+    }
+
+    fn part_mut(&mut self, duty: &Duty) -> Option<&mut Part> {
+        self.works.get_mut(&duty.name)?.parts.get_mut(duty.part as usize)
     }
 
     pub fn rows(&self) -> Vec<Row> {
@@ -439,9 +446,21 @@
         let mut heard = BTreeMap::new();
         // Lines first: what had not run out when they were read need not run out now. A leader that stood still reads what
         // waited before it moves time.
-        if !matches!(entry.command, Command::Say(_)) {
-            self.run_out(&mut out);
+        if let Command::Say(lines) = &entry.command {
+            for said in lines {
+                match self.hear(said, &mut out) {
+                    Ok(true) => drop(heard.insert(said.owner.clone(), said.knows)),
+                    Ok(false) => {}
+                    Err(refused) => out.told.push(Told {
+                        owner: said.owner.clone(),
+                        serial: said.serial,
+                        refused: Some(refused),
+                        ..Told::default()
+                    }),
+                }
+            }
         }
+        self.run_out(&mut out);
         match &entry.command {
             Command::Time => {
                 // Whoever was kept off for a while may have a vacant part now.
@@ -451,26 +470,10 @@
                 self.level(&mut out);
             }
             Command::Declare { rules, duties } => out.fault = self.declare(rules, duties, &mut out).err(),
-            Command::Say(lines) => {
-                for said in lines {
-                    match self.hear(said, &mut out) {
-                        Ok(true) => drop(heard.insert(said.owner.clone(), said.knows)),
-                        Ok(false) => {}
-                        Err(refused) => out.told.push(Told {
-                            owner: said.owner.clone(),
-                            serial: said.serial,
-                            refused: Some(refused),
-                            ..Told::default()
-                        }),
-                    }
-                }
-            }
+            Command::Say(_) => {}
             Command::Pause { duty, paused } => out.fault = self.pause(duty, *paused, &mut out).err(),
             Command::Move { duty, to } => out.fault = self.send(duty, to, &mut out).err(),
         }
-        if matches!(entry.command, Command::Say(_)) {
-            self.run_out(&mut out);
-        }
         if self.dirty {
             self.give(&mut out);
         }
@@ -494,22 +497,9 @@
         out
     }
 
-    /// What a keeper that begins to lead tells everyone who is connected: the same as its last answer.
-    pub fn told(&self, owner: &Owner) -> Option<Told> {
-        let session = self.sessions.get(owner)?;
-        Some(Told {
-            owner: owner.clone(),
-            serial: session.serial,
-            term: session.term,
-            version: session.version,
-            grants: Some(self.list(session)),
-            refused: None,
-        })
-    }
-
     fn list(&self, session: &Session) -> Vec<Granted> {
         let grant = |duty: &Duty| {
-            let grant = self.works.get(&duty.name)?.parts.get(duty.part as usize)?.grant.as_ref()?;
+            let grant = self.grant(duty)?;
             Some(Granted { duty: duty.clone(), epoch: grant.epoch, back: grant.back.is_some() })
         };
         session.has.iter().filter_map(grant).collect()
@@ -559,8 +549,7 @@
                 }
             }
         }
-        let until =
-            |duty: &Duty| self.works.get(&duty.name)?.parts.get(duty.part as usize)?.grant.as_ref()?.back;
+        let until = |duty: &Duty| self.grant(duty)?.back;
         let late = |duty: &&Duty| until(duty).is_none_or(|until| until <= now);
         let ended: Vec<Duty> = self.backs.iter().filter(late).cloned().collect();
         for duty in ended {
@@ -575,9 +564,8 @@
 
     /// Ends a grant: the part is vacant.
     fn end(&mut self, duty: &Duty, cause: Cause, out: &mut Outcome) {
-        let part = self.works.get_mut(&duty.name).and_then(|work| work.parts.get_mut(duty.part as usize));
         self.backs.remove(duty);
-        let Some(grant) = part.and_then(|part| part.grant.take()) else { return };
+        let Some(grant) = self.part_mut(duty).and_then(|part| part.grant.take()) else { return };
         self.dirty = true;
         if let Some(session) = self.sessions.get_mut(&grant.owner) {
             session.has.remove(duty);
@@ -589,13 +577,11 @@
 
     /// Takes a grant back: free when handed over, or when the session in force now would have run out.
     fn take_back(&mut self, duty: &Duty, until: f64, cause: Cause, out: &mut Outcome) {
-        let part = self.works.get_mut(&duty.name).and_then(|work| work.parts.get_mut(duty.part as usize));
-        let Some(grant) = part.and_then(|part| part.grant.as_mut()).filter(|g| g.back.is_none()) else {
-            return;
-        };
+        let grant = self.part_mut(duty).and_then(|part| part.grant.as_mut());
+        let Some(grant) = grant.filter(|grant| grant.back.is_none()) else { return };
         grant.back = Some(until);
-        self.backs.insert(duty.clone());
         let (owner, epoch) = (grant.owner.clone(), grant.epoch);
+        self.backs.insert(duty.clone());
         self.touch(&owner);
         out.changes.push(Change {
             at: self.now,
@@ -666,9 +652,9 @@
             }
         }
         for mark in &said.marks {
-            let part =
-                self.works.get_mut(&mark.duty.name).and_then(|w| w.parts.get_mut(mark.duty.part as usize));
-            let Some(grant) = part.and_then(|part| part.grant.as_mut()) else { continue };
+            let Some(grant) = self.part_mut(&mark.duty).and_then(|part| part.grant.as_mut()) else {
+                continue;
+            };
             if grant.owner != said.owner || grant.epoch != mark.epoch {
                 continue;
             }
@@ -702,12 +688,11 @@
                 let Some(grant) = part.grant.as_ref().filter(|grant| stalled(grant)) else { continue };
                 part.barred.truncate(BARRED - 1);
                 part.barred.push((grant.owner.instance.clone(), now + self.rules.barred));
-                found.push((Duty::new(name, at as u32), grant.owner.clone()));
+                found.push(Duty::new(name, at as u32));
             }
         }
-        for (duty, owner) in found {
-            let until = self.sessions.get(&owner).map_or(now, |session| session.until);
-            self.take_back(&duty, until, Cause::Stalled, out);
+        for duty in found {
+            self.take_back_now(&duty, Cause::Stalled, out);
         }
     }
 
@@ -908,8 +893,7 @@
         if !self.candidates(&duty.name).iter().any(|candidate| candidate.instance == to) {
             return Err(format!("{to:?} is no instance that may have {duty}"));
         }
-        let part = self.works.get_mut(&duty.name).and_then(|work| work.parts.get_mut(duty.part as usize));
-        let part = part.ok_or_else(|| format!("no duty {duty} is declared"))?;
+        let part = self.part_mut(duty).ok_or_else(|| format!("no duty {duty} is declared"))?;
         if part.grant.as_ref().is_some_and(|grant| grant.owner.instance == to && grant.back.is_none()) {
             return Ok(());
         }
--- a/crates/owners/src/turns.rs
+++ b/crates/owners/src/turns.rs
@@ -2,10 +2,13 @@
 //! server waits for its own a bounded time, never so long that its drain would be cut short, then leaves without. Both sides stand here;
 //! neither reads a clock.
 
+use crate::sent::Sent;
 use crate::Epoch;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Reports of a server that may be unanswered and still be counted from.
+const SENT: usize = 32;
 /// Servers that one owner knows at the most.
 const SERVERS: usize = 10_000;
 
@@ -167,8 +170,7 @@
 pub struct Leaver {
     /// When it leaves at the latest.
     latest: f64,
-    sent: BTreeMap<u64, f64>,
-    reports: u64,
+    sent: Sent,
     go: Go,
 }
 
@@ -177,23 +179,18 @@
     /// `reports` have gone out before.
     pub fn new(now: f64, patience: f64, kill: f64, drain: f64, reports: u64) -> Leaver {
         let latest = (now + patience).min(kill - drain).max(now);
-        Leaver { latest, sent: BTreeMap::new(), reports, go: Go::Wait }
+        Leaver { latest, sent: Sent::after(reports, SENT), go: Go::Wait }
     }
 
     /// A report that is sent now.
     pub fn report(&mut self, now: f64) -> (u64, State) {
-        self.reports += 1;
-        self.sent.insert(self.reports, now);
-        while self.sent.len() > 32 {
-            self.sent.pop_first();
-        }
-        (self.reports, if self.go == Go::Wait { State::Waits } else { State::Leaves })
+        (self.sent.send(now), if self.go == Go::Wait { State::Waits } else { State::Leaves })
     }
 
     /// A turn that came; void if it is not for a report of this life, or too late to begin.
     pub fn take(&mut self, now: f64, turn: &Turn) {
-        let fit = |sent: &f64| turn.begin.is_finite() && now - sent < turn.begin;
-        if self.go == Go::Wait && self.sent.get(&turn.report).is_some_and(fit) {
+        let fit = |sent: f64| turn.begin.is_finite() && now - sent < turn.begin;
+        if self.go == Go::Wait && self.sent.at(turn.report).is_some_and(fit) {
             self.go = Go::Turn(turn.epoch);
         }
     }
--- a/crates/owners/tests/schedules.rs
+++ b/crates/owners/tests/schedules.rs
@@ -299,15 +299,7 @@
 
     fn deliver(&mut self) -> Found {
         let t = self.t;
-        let mut due: Vec<(f64, u64, Mail)> = Vec::new();
-        let mut at = 0;
-        while at < self.mail.len() {
-            if self.mail[at].0 <= t {
-                due.push(self.mail.swap_remove(at));
-            } else {
-                at += 1;
-            }
-        }
+        let mut due: Vec<_> = self.mail.extract_if(.., |(when, ..)| *when <= t).collect();
         due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (when, number, mail) in due {
             match mail {
