A keeper on sockets: lines of JSON over TCP, keepers that join and leave, a route to them

Need: the table of grants and the keepers' consensus stood without a process. Change: crates/links (bounded lines of JSON, an accept loop with a bound, a clock that is handed in; the control service's reports use it), keeper/serve.rs (one task for the core, one thread that syncs all waiting saves together, a courier a peer that drops what it can't send), keeper/members.rs (a number is used once, a learner votes once it is near, no removal without a majority that is well), owners/route.rs (which keeper, hints, pauses drawn apart), settings for keeper, steward and archive. Result: pure parts tested (13 new stories); nothing of it is linked into run.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -5,6 +5,7 @@
 //! is named by its key.
 #![forbid(unsafe_code)]
 
+pub mod fleet;
 pub mod settings;
 pub mod sexpr;
 
--- a/crates/charter/src/settings.rs
+++ b/crates/charter/src/settings.rs
@@ -1,6 +1,7 @@
 //! Our own settings: all that the platform does not tell a server. Without a file everything here is off, and the
 //! log is as it was.
 
+use crate::fleet::{self, Archive, Keeper, Steward};
 use crate::sexpr::{Block, Fault, Reader};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -78,10 +79,13 @@
     pub trace: Option<Trace>,
     pub publish: Option<Publish>,
     pub control: Option<Control>,
+    pub keeper: Option<Keeper>,
+    pub steward: Option<Steward>,
+    pub archive: Option<Archive>,
 }
 
 /// An address behind a key, as text.
-fn address(block: &Block, key: &'static str) -> Option<SocketAddr> {
+pub(crate) fn address(block: &Block, key: &'static str) -> Option<SocketAddr> {
     let text = block.text(key)?;
     let found = text.parse().ok();
     if found.is_none() {
@@ -91,7 +95,7 @@
 }
 
 /// The same where there must be one.
-fn needed(block: &Block, key: &'static str) -> SocketAddr {
+pub(crate) fn needed(block: &Block, key: &'static str) -> SocketAddr {
     if !block.has(key) {
         block.fault(key, "should be given");
     }
@@ -187,6 +191,9 @@
     }
     settings.publish = top.block("publish").as_ref().map(publish);
     settings.control = top.block("control").as_ref().map(control);
+    settings.keeper = top.block("keeper").as_ref().map(fleet::keeper);
+    settings.steward = top.block("steward").as_ref().map(fleet::steward);
+    settings.archive = top.block("archive").as_ref().map(fleet::archive);
     top.finish();
     match reader.faults() {
         faults if faults.is_empty() => Ok(settings),
@@ -195,7 +202,7 @@
 }
 
 /// Text as it may stand in settings.
-fn quoted(text: &str) -> String {
+pub(crate) fn quoted(text: &str) -> String {
     let escaped = text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n").replace('\t', "\\t");
     format!("\"{escaped}\"")
 }
@@ -251,6 +258,10 @@
             let _ = writeln!(out, "{snapshot}{tls})");
         }
     }
+    // Those of other processes are shown where they stand.
+    settings.keeper.iter().for_each(|keeper| keeper.show(&mut out));
+    settings.steward.iter().for_each(|steward| steward.show(&mut out));
+    settings.archive.iter().for_each(|archive| archive.show(&mut out));
     out
 }
 
--- a/crates/keeper/src/core.rs
+++ b/crates/keeper/src/core.rs
@@ -3,12 +3,15 @@
 //! disk delays answers and never makes them untrue.
 
 use crate::log::{Disk, Kept, Log, Save, Shot, Torn, Vote};
+use crate::members::{Change as Turnover, Members, Seat, Unfit};
 use protobuf::Message as _;
 use puffinladder_owners::pace::Pace;
 use puffinladder_owners::table::{Change, Command, Declared, Entry, Rules, Said, Table, Told};
+use puffinladder_owners::words::Status;
 use puffinladder_owners::Owner;
-use raft::eraftpb::{ConfChange, ConfChangeV2, EntryType, Message};
-use raft::{Config, RawNode, StateRole};
+use raft::eraftpb::{ConfChange, ConfChangeType, ConfChangeV2, EntryType, Message};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use thiserror::Error;
 
@@ -42,6 +45,10 @@
 const SLOW: f64 = 0.2;
 /// Operators' commands that wait at once.
 const COMMANDS: usize = 64;
+/// Ticks after which a snapshot that was sent and not answered counts as lost.
+const LOST: usize = 66;
+/// Places by which election time-outs differ, for keepers that joined.
+const PLACES: u64 = 9;
 
 #[derive(Debug, Error)]
 pub enum Fault {
@@ -54,7 +61,7 @@
 }
 
 /// Why a line or a command is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
     #[error("this keeper does not lead; keeper {0:?} may")]
     NotLeading(Option<u64>),
@@ -62,6 +69,8 @@
     Full,
     #[error("whether it was carried out is not known")]
     Unknown,
+    #[error("{0}")]
+    Unfit(Unfit),
 }
 
 /// What the host is to do, in this order.
@@ -79,6 +88,7 @@
     pub read: Vec<u64>,
     /// For log and metrics; every keeper sees all of them.
     pub changes: Vec<Change>,
+    pub turnovers: Vec<Turnover>,
 }
 
 /// A save that is under way, and what waits for it.
@@ -107,9 +117,21 @@
     unsaved: VecDeque<Unsaved>,
     commands: Vec<Waiting>,
     reads: Vec<(u64, u64)>,
+    members: Members,
+    /// Who is a member changed: the snapshot in the log must name them, or whoever joins could not take it.
+    reshoot: bool,
+    /// Peers with a snapshot under way, and ticks since.
+    shots: BTreeMap<u64, usize>,
     out: Out,
 }
 
+/// What a snapshot holds.
+#[derive(Default, Serialize, Deserialize)]
+struct State {
+    table: Table,
+    members: Members,
+}
+
 struct Lead {
     term: u64,
     pace: Pace,
@@ -121,10 +143,11 @@
     /// A keeper from what its disk holds. `id` must never have voted with another disk.
     pub fn new(id: u64, terms: Terms, disk: &Disk) -> Result<Core, Fault> {
         let log = Log::new(disk)?;
-        let table = table_of(&disk.shot)?;
+        let State { table, members } = state_of(&disk.shot)?;
         let mut places = disk.shot.voters.clone();
         places.sort_unstable();
-        let place = places.iter().position(|voter| *voter == id).unwrap_or(places.len());
+        let founder = places.iter().position(|voter| *voter == id);
+        let place = founder.unwrap_or((id % PLACES) as usize);
         let patience = terms.patience.max(4);
         let config = Config {
             id,
@@ -154,6 +177,9 @@
             unsaved: VecDeque::new(),
             commands: Vec::new(),
             reads: Vec::new(),
+            members,
+            reshoot: false,
+            shots: BTreeMap::new(),
             out: Out::default(),
         })
     }
@@ -178,6 +204,54 @@
     pub fn leads(&self) -> bool {
         self.lead.is_some()
     }
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+    pub fn voters(&self) -> Vec<u64> {
+        self.node.store().conf().voters.clone()
+    }
+    pub fn learners(&self) -> Vec<u64> {
+        self.node.store().conf().learners.clone()
+    }
+    /// Numbers of all peers that it sends to.
+    pub fn peers(&self) -> Vec<u64> {
+        let conf = self.node.store().conf();
+        conf.voters.iter().chain(&conf.learners).copied().filter(|peer| *peer != self.id).collect()
+    }
+
+    /// How it is, without what only its host knows.
+    pub fn status(&self, now: f64) -> Status {
+        Status {
+            number: self.id,
+            leader: self.leader(),
+            leads: self.leads(),
+            term: self.term(),
+            applied: self.applied,
+            log_entries: self.log_len(),
+            voters: self.voters(),
+            learners: self.learners(),
+            retired: self.members.retired.iter().copied().collect(),
+            last_epoch: self.table.last_epoch(),
+            instances: self.table.instances(),
+            slow: self.slow(now),
+            ..Status::default()
+        }
+    }
+
+    /// All keepers as the one that leads sees them.
+    fn seats(&self) -> Vec<Seat> {
+        let voters = self.voters();
+        let seat = |(number, progress): (&u64, &raft::Progress)| Seat {
+            number: *number,
+            votes: voters.contains(number),
+            active: *number == self.id || progress.recent_active,
+            matched: progress.matched,
+        };
+        let mut seats: Vec<Seat> = self.node.raft.prs().iter().map(seat).collect();
+        seats.sort_by_key(|seat| seat.number);
+        seats
+    }
+
     /// Entries behind the last snapshot.
     pub fn log_len(&self) -> usize {
         self.node.store().len()
@@ -208,6 +282,7 @@
             self.node.tick();
         }
         self.settle();
+        self.tend();
         let waits = !self.lines.is_empty();
         let Some(lead) = &mut self.lead else { return };
         // Looked at before time moves: after a pause of this process the lines that waited come first.
@@ -218,10 +293,67 @@
         }
     }
 
+    /// What a leader sees to beside the table: snapshots that were lost on their way are sent again, learners get their vote.
+    fn tend(&mut self) {
+        if self.lead.is_none() {
+            return self.shots.clear();
+        }
+        let under_way = |(peer, progress): (&u64, &raft::Progress)| {
+            (progress.state == ProgressState::Snapshot).then_some(*peer)
+        };
+        let waits: Vec<u64> = self.node.raft.prs().iter().filter_map(under_way).collect();
+        self.shots.retain(|peer, _| waits.contains(peer));
+        for peer in waits {
+            let ticks = self.shots.entry(peer).or_default();
+            *ticks += 1;
+            if *ticks >= LOST {
+                self.shots.remove(&peer);
+                self.node.report_snapshot(peer, SnapshotStatus::Failure);
+            }
+        }
+        if !self.node.raft.has_pending_conf() {
+            if let Some(change) = self.members.next(&self.seats(), self.node.raft.raft_log.last_index()) {
+                self.turn_over(0, change);
+            }
+        }
+    }
+
+    /// An operator's change of who the keepers are; what came of it is told under its token.
+    pub fn change(&mut self, token: u64, change: Turnover) -> Result<(), Refusal> {
+        self.leading()?;
+        if self.node.raft.has_pending_conf() {
+            return Err(Refusal::Unfit(Unfit::UnderWay));
+        }
+        if self.commands.len() >= COMMANDS {
+            return Err(Refusal::Full);
+        }
+        self.members.may(&change, &self.seats(), self.id).map_err(Refusal::Unfit)?;
+        if !self.turn_over(token, change) {
+            return Err(Refusal::Full);
+        }
+        let term = self.term();
+        self.commands.push(Waiting { token, term });
+        Ok(())
+    }
+
+    fn turn_over(&mut self, token: u64, change: Turnover) -> bool {
+        let (kind, number) = match &change {
+            Turnover::Add { number, .. } => (ConfChangeType::AddLearnerNode, *number),
+            Turnover::Promote(number) => (ConfChangeType::AddNode, *number),
+            Turnover::Remove(number) => (ConfChangeType::RemoveNode, *number),
+        };
+        let Ok(context) = postcard::to_allocvec(&(token, change)) else { return false };
+        let mut conf =
+            ConfChange { node_id: number, context: context.clone().into(), ..ConfChange::default() };
+        conf.set_change_type(kind);
+        self.node.propose_conf_change(context, conf).is_ok()
+    }
+
     /// A message of a peer, as it came: what can't be read or is not for this keeper is passed over, and says so.
     pub fn hear(&mut self, bytes: &[u8]) -> Result<(), String> {
         let message = Message::parse_from_bytes(bytes).map_err(|e| format!("not a message: {e}"))?;
-        let known = self.node.raft.prs().get(message.from).is_some();
+        // Whoever joins knows nobody yet.
+        let known = self.voters().is_empty() || self.node.raft.prs().get(message.from).is_some();
         if message.to != self.id || !known {
             return Err(format!("a message of {} to {} is not for this keeper", message.from, message.to));
         }
@@ -341,7 +473,8 @@
         let at_once = ready.take_messages();
         if ready.snapshot().get_metadata().index > 0 {
             let shot = Shot::of(ready.snapshot());
-            self.table = table_of(&shot)?;
+            let state = state_of(&shot)?;
+            (self.table, self.members) = (state.table, state.members);
             self.applied = shot.index;
             self.node.mut_store().restore(shot.clone());
             save.shot = Some(shot);
@@ -417,11 +550,21 @@
                 let change = ConfChange::parse_from_bytes(&entry.data).unwrap_or_default();
                 let conf = self.node.apply_conf_change(&change)?;
                 self.node.mut_store().set_conf(conf);
+                self.reshoot = true;
+                if let Ok((token, change)) = postcard::from_bytes::<(u64, Turnover)>(&change.context) {
+                    self.members.apply(&change);
+                    self.out.turnovers.push(change);
+                    if self.commands.iter().any(|one| one.token == token) {
+                        self.commands.retain(|one| one.token != token);
+                        self.out.done.push((token, Ok(())));
+                    }
+                }
             }
             EntryType::EntryConfChangeV2 => {
                 let change = ConfChangeV2::parse_from_bytes(&entry.data).unwrap_or_default();
                 let conf = self.node.apply_conf_change(&change)?;
                 self.node.mut_store().set_conf(conf);
+                self.reshoot = true;
             }
         }
         Ok(())
@@ -441,12 +584,16 @@
     /// Puts a snapshot in place of a long log.
     fn shrink(&mut self) {
         let store = self.node.store();
-        if store.len() < self.terms.compact || self.applied <= store.shot().index || !self.unsaved.is_empty()
-        {
+        let due = store.len() >= self.terms.compact || self.reshoot;
+        if !due || self.applied <= store.shot().index || !self.unsaved.is_empty() {
             return;
         }
-        let Ok(table) = postcard::to_allocvec(&self.table) else { return };
+        let state = State { table: std::mem::take(&mut self.table), members: self.members.clone() };
+        let written = postcard::to_allocvec(&state);
+        self.table = state.table;
+        let Ok(table) = written else { return };
         let applied = self.applied;
+        self.reshoot = false;
         if let Some(shot) = self.node.mut_store().compact(applied, table) {
             // Nothing waits for it: it only makes room. (Number 0 is before all others.)
             self.out.saves.push(Save { shot: Some(shot), ..Save::default() });
@@ -454,10 +601,10 @@
     }
 }
 
-/// The table in a snapshot; the first one of all has none yet.
-fn table_of(shot: &Shot) -> Result<Table, Fault> {
+/// What is in a snapshot; the first one of all has nothing yet.
+fn state_of(shot: &Shot) -> Result<State, Fault> {
     if shot.table.is_empty() {
-        return Ok(Table::default());
+        return Ok(State::default());
     }
     postcard::from_bytes(&shot.table).map_err(Fault::Table)
 }
--- a/crates/keeper/src/store.rs
+++ b/crates/keeper/src/store.rs
@@ -44,6 +44,15 @@
 impl Store {
     /// A first disk of keeper `id` among these. There must be none yet.
     pub fn found(path: &Path, id: u64, voters: &[u64]) -> Result<(Store, Disk), Fault> {
+        Store::create(path, id, Disk::found(voters))
+    }
+
+    /// A first disk of a keeper that joins others, under a number that was never used.
+    pub fn join(path: &Path, id: u64) -> Result<(Store, Disk), Fault> {
+        Store::create(path, id, Disk::join())
+    }
+
+    fn create(path: &Path, id: u64, disk: Disk) -> Result<(Store, Disk), Fault> {
         if path.exists() {
             return Err(Fault::Founded { path: path.into() });
         }
@@ -52,7 +61,6 @@
         half.push(".new");
         let half = PathBuf::from(half);
         let _ = std::fs::remove_file(&half);
-        let disk = Disk::found(voters);
         let store = Store { db: open(&half, true)?, path: path.into(), id };
         store.write(|tx| {
             let mut facts = tx.open_table(FACTS)?;
--- a/crates/owners/src/fence.rs
+++ b/crates/owners/src/fence.rs
@@ -15,7 +15,7 @@
 }
 
 /// What becomes of an effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     /// It is to be done now, together with what [`Fence::take`] noted.
     New,
@@ -84,6 +84,16 @@
         verdict
     }
 
+    /// Notes what is durable already.
+    pub fn keep(&mut self, duty: &Duty, seen: Seen) {
+        self.seen.insert(duty.clone(), seen);
+    }
+
+    /// A fence that knows this one duty, to ask what would become of something.
+    pub fn clone_of(&self, duty: &Duty) -> Fence {
+        Fence::restore([(duty.clone(), self.seen(duty))])
+    }
+
     /// A new owner shows its epoch before its first effect, so that nothing of the old one lands from here on. Says
     /// whether it may begin.
     pub fn announce(&mut self, duty: &Duty, epoch: Epoch) -> Verdict {
--- a/crates/owners/src/lib.rs
+++ b/crates/owners/src/lib.rs
@@ -10,9 +10,14 @@
 pub mod holder;
 pub mod pace;
 pub mod quota;
+pub mod route;
 pub mod sent;
+pub mod shuffle;
 pub mod table;
 pub mod turns;
+pub mod words;
+
+pub use shuffle::Shuffle;
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
--- a/crates/owners/src/table.rs
+++ b/crates/owners/src/table.rs
@@ -246,7 +246,7 @@
 }
 
 /// What an entry changed, for the log, the metrics and the checkers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     pub at: f64,
     pub duty: Duty,
@@ -256,7 +256,7 @@
     pub cause: Cause,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
     Given,
     TakenBack,
@@ -340,7 +340,7 @@
 }
 
 /// A grant as operators see it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
     pub duty: Duty,
     pub owner: Option<Owner>,
@@ -351,7 +351,7 @@
 }
 
 /// An instance as operators see it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Seat {
     pub owner: Owner,
     pub zone: String,
