--- /dev/null
+++ b/crates/archive/src/core.rs
@@ -0,0 +1,241 @@
+//! What becomes of a piece that somebody brings, decided without I/O. A decision is noted here only after it is on disk ([`Core::note`]), so that the
+//! archive never answers for what a crash would take back.
+
+use crate::words::{Outcome, Piece, Source, Taken};
+use puffinladder_owners::fence::{Fence, Seen, Verdict};
+use puffinladder_owners::{Duty, Epoch};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Files that are known at the most; names of a file in bytes; parts of duties.
+pub const FILES: usize = 1_000_000;
+pub const NAME: usize = 256;
+const PARTS: usize = 100_000;
+
+/// What is to be written in one transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Write {
+    pub duty: Duty,
+    pub seen: Seen,
+    /// With a piece: its place, and how much of the file is taken then.
+    pub piece: Option<(Source, u64, Taken)>,
+    /// Files whose blocks go, since there is no room for all.
+    pub forget: Vec<Source>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Core {
+    fence: Fence,
+    taken: BTreeMap<Source, Taken>,
+    /// Bytes that a file's blocks take, and whole files in the order in which they were done.
+    sizes: BTreeMap<Source, u64>,
+    order: VecDeque<Source>,
+    bytes: u64,
+    most: u64,
+    pub refused: u64,
+}
+
+/// A name that is one: it is part of a path where the archive is exported.
+pub fn fit(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "._-+:".contains(c);
+    !name.is_empty() && name.len() <= NAME && !name.starts_with('.') && name.chars().all(plain)
+}
+
+impl Core {
+    /// From what is on disk: the fence, files with what was taken of them and their bytes, in the order in which they were done.
+    pub fn new(
+        most: u64,
+        seen: impl IntoIterator<Item = (Duty, Seen)>,
+        files: impl IntoIterator<Item = (Source, Taken, u64)>,
+    ) -> Core {
+        let mut core = Core { fence: Fence::restore(seen), most, ..Core::default() };
+        for (source, taken, bytes) in files {
+            core.bytes += bytes;
+            if taken.done && bytes > 0 {
+                core.order.push_back(source.clone());
+            }
+            core.sizes.insert(source.clone(), bytes);
+            core.taken.insert(source, taken);
+        }
+        core
+    }
+
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+    pub fn files(&self) -> impl Iterator<Item = (&Source, &Taken)> {
+        self.taken.iter()
+    }
+    pub fn seen(&self, duty: &Duty) -> Seen {
+        self.fence.seen(duty)
+    }
+
+    /// A new owner shows its epoch.
+    pub fn announce(&mut self, duty: &Duty, epoch: Epoch) -> (Verdict, Option<Write>) {
+        let full = !fit(&duty.name) || (self.seen(duty).epoch == 0 && self.fence.all().count() >= PARTS);
+        if full {
+            return (Verdict::Late { seen: Epoch::MAX }, None);
+        }
+        let verdict = self.fence.clone_of(duty).announce(duty, epoch);
+        let seen = Seen { epoch, number: 0 };
+        let write = Write { duty: duty.clone(), seen, piece: None, forget: Vec::new() };
+        (verdict, (verdict == Verdict::New).then_some(write))
+    }
+
+    /// A piece of so many bytes. What is to be written, if anything is; nothing is known of it before it was noted.
+    pub fn put(
+        &mut self,
+        duty: &Duty,
+        epoch: Epoch,
+        number: u64,
+        piece: &Piece,
+        bytes: u64,
+    ) -> (Outcome, Option<Write>) {
+        let verdict = self.fence.judge(duty, epoch, number);
+        if verdict != Verdict::New {
+            self.refused += u64::from(matches!(verdict, Verdict::Late { .. }));
+            return (Outcome::Fence(verdict), None);
+        }
+        // An epoch begins with its announcement, which told where to go on.
+        if self.seen(duty).epoch != epoch {
+            return (Outcome::Fence(Verdict::Gap { expected: 0 }), None);
+        }
+        let taken = self.taken.get(&piece.source).copied().unwrap_or_default();
+        if taken.done || taken.blocks != piece.place {
+            return (Outcome::Elsewhere(taken), None);
+        }
+        let known = self.taken.contains_key(&piece.source);
+        if !fit(&piece.source.server) || !fit(&piece.source.file) || (!known && self.taken.len() >= FILES) {
+            return (Outcome::Full, None);
+        }
+        let mut forget = Vec::new();
+        let mut left = self.bytes + bytes;
+        for source in &self.order {
+            if left <= self.most {
+                break;
+            }
+            left -= self.sizes.get(source).copied().unwrap_or(0);
+            forget.push(source.clone());
+        }
+        if left > self.most {
+            return (Outcome::Full, None);
+        }
+        let after = Taken { blocks: taken.blocks + u64::from(bytes > 0), done: piece.last };
+        let write = Write {
+            duty: duty.clone(),
+            seen: Seen { epoch, number },
+            piece: Some((piece.source.clone(), piece.place, after)),
+            forget,
+        };
+        (Outcome::Fence(Verdict::New), Some(write))
+    }
+
+    /// What was decided is on disk.
+    pub fn note(&mut self, write: &Write, bytes: u64) {
+        self.fence.keep(&write.duty, write.seen);
+        for source in &write.forget {
+            self.bytes -= self.sizes.insert(source.clone(), 0).unwrap_or(0);
+            self.order.retain(|one| one != source);
+        }
+        if let Some((source, _, taken)) = &write.piece {
+            *self.sizes.entry(source.clone()).or_default() += bytes;
+            self.bytes += bytes;
+            self.taken.insert(source.clone(), *taken);
+            if taken.done {
+                self.order.push_back(source.clone());
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn duty() -> Duty {
+        Duty::new("gather", 0)
+    }
+
+    fn piece(file: &str, place: u64, last: bool) -> Piece {
+        Piece { source: Source { server: "n1".into(), file: file.into() }, place, last }
+    }
+
+    /// Decides, and takes it for written.
+    fn put(core: &mut Core, epoch: Epoch, number: u64, piece: &Piece, bytes: u64) -> Outcome {
+        let (outcome, write) = core.put(&duty(), epoch, number, piece, bytes);
+        write.iter().for_each(|write| core.note(write, bytes));
+        outcome
+    }
+
+    fn announce(core: &mut Core, epoch: Epoch) -> Verdict {
+        let (verdict, write) = core.announce(&duty(), epoch);
+        write.iter().for_each(|write| core.note(write, 0));
+        verdict
+    }
+
+    const NEW: Outcome = Outcome::Fence(Verdict::New);
+
+    #[test]
+    fn a_successor_goes_on_where_the_one_before_stopped_and_that_one_lands_nothing_more() {
+        let mut core = Core::new(1000, [], []);
+        assert_eq!(
+            put(&mut core, 5, 1, &piece("a", 0, false), 10),
+            Outcome::Fence(Verdict::Gap { expected: 0 })
+        );
+        assert_eq!(announce(&mut core, 5), Verdict::New);
+        assert_eq!(put(&mut core, 5, 1, &piece("a", 0, false), 10), NEW);
+        assert_eq!(put(&mut core, 5, 1, &piece("a", 0, false), 10), Outcome::Fence(Verdict::Repeat));
+        assert_eq!(announce(&mut core, 6), Verdict::New);
+        assert_eq!(put(&mut core, 5, 2, &piece("a", 1, true), 10), Outcome::Fence(Verdict::Late { seen: 6 }));
+        assert_eq!(announce(&mut core, 5), Verdict::Late { seen: 6 });
+        // Its successor thinks that nothing was taken yet.
+        let taken = Taken { blocks: 1, done: false };
+        assert_eq!(put(&mut core, 6, 1, &piece("a", 0, false), 10), Outcome::Elsewhere(taken));
+        assert_eq!(put(&mut core, 6, 1, &piece("a", 1, true), 10), NEW);
+        let done = Taken { blocks: 2, done: true };
+        assert_eq!(put(&mut core, 6, 2, &piece("a", 2, true), 10), Outcome::Elsewhere(done));
+        assert_eq!((core.bytes(), core.refused), (20, 1));
+    }
+
+    #[test]
+    fn what_was_not_written_is_not_known() {
+        let mut core = Core::new(1000, [], []);
+        announce(&mut core, 5);
+        assert_eq!(core.put(&duty(), 5, 1, &piece("a", 0, true), 10).0, NEW);
+        assert_eq!(core.put(&duty(), 5, 1, &piece("a", 0, true), 10).0, NEW, "the disk failed in between");
+        assert_eq!(core.seen(&duty()).number, 0);
+        assert_eq!(core.announce(&duty(), 6).0, Verdict::New);
+        assert_eq!(core.seen(&duty()).epoch, 5);
+    }
+
+    #[test]
+    fn past_the_bound_the_oldest_whole_files_go_and_stay_known_as_done() {
+        let mut core = Core::new(100, [], []);
+        announce(&mut core, 5);
+        assert_eq!(put(&mut core, 5, 1, &piece("a", 0, true), 40), NEW);
+        assert_eq!(put(&mut core, 5, 2, &piece("b", 0, false), 40), NEW);
+        let (outcome, write) = core.put(&duty(), 5, 3, &piece("c", 0, true), 40);
+        assert_eq!((outcome, write.unwrap().forget.len()), (NEW, 1));
+        assert_eq!(put(&mut core, 5, 3, &piece("c", 0, true), 40), NEW);
+        let done = Taken { blocks: 1, done: true };
+        assert_eq!(
+            put(&mut core, 5, 4, &piece("a", 0, true), 1),
+            Outcome::Elsewhere(done),
+            "not gathered again"
+        );
+        assert_eq!(put(&mut core, 5, 4, &piece("d", 0, true), 90), Outcome::Full, "b is not whole yet");
+        assert_eq!(core.bytes(), 80);
+    }
+
+    #[test]
+    fn names_that_could_be_paths_and_parts_past_the_bound_are_refused() {
+        let mut core = Core::new(1000, [], []);
+        announce(&mut core, 5);
+        for name in ["../x", "", ".x", "a/b", "a\0"] {
+            assert_eq!(put(&mut core, 5, 1, &piece(name, 0, true), 1), Outcome::Full, "{name:?}");
+        }
+        assert!(matches!(core.announce(&Duty::new("a/b", 0), 9), (Verdict::Late { .. }, None)));
+        // A file without blocks is done with nothing taken.
+        assert_eq!(put(&mut core, 5, 1, &piece("empty", 0, true), 0), NEW);
+        assert_eq!(core.files().next().unwrap().1, &Taken { blocks: 0, done: true });
+    }
+}
--- a/crates/trace/src/file.rs
+++ b/crates/trace/src/file.rs
@@ -177,6 +177,20 @@
     packed(Kind::Notes, block::pack_notes(names, notes))
 }
 
+/// A block as it came from elsewhere: it is one, whole, and its checksums fit.
+pub fn unpack(bytes: Vec<u8>) -> Result<Packed, Bad> {
+    let header = BlockHeader::take(&bytes).ok_or(Bad("its header can't be read"))?;
+    if header.whole() != bytes.len() as u64 {
+        return Err(Bad("it is cut off or too long"));
+    }
+    let (head, body) = bytes[BLOCK..].split_at(header.head as usize);
+    if crc32c::crc32c(head) != header.crc_head || crc32c::crc32c(body) != header.crc_body {
+        return Err(Bad("its checksum is wrong"));
+    }
+    let read = block::take_head(&mut Names::default(), head)?;
+    Ok(Packed { kind: header.kind, rows: header.rows, from: read.from, to: read.to, bytes })
+}
+
 /// Writes a file, block by block. Dropped before [`Writer::seal`], it leaves one that opens as torn.
 pub struct Writer<W: Write> {
     out: W,
