Stewards gather traces by their grants; keeper, duties, steward, archive commands

Need: nothing used the grants. Change: crates/steward (a pure plan of which piece comes next, servers in turns, unreadable files later; a step bounded by the term that is left; one task that looks at its clock before every step; the number of its lives kept on disk, so that a wall clock that stepped back gives no old one), and the command line: run and found or join a keeper, status, add, remove; duties list, show, move, pause, resume; the archive's status and export. Services share how they read settings and log.

--- a/crates/archive/src/words.rs
+++ b/crates/archive/src/words.rs
@@ -35,7 +35,7 @@
         epoch: Epoch,
         number: u64,
         piece: Piece,
-        /// The block as it stands in its file, base64; empty for a file without blocks.
+        /// The block as it stands in its file, base64; empty for one that can't be read, and for a file without any.
         block: String,
     },
     Status,
@@ -61,7 +61,7 @@
     Failed(String),
 }
 
-/// How much of a file was taken.
+/// How much of a file was taken: so many of its blocks, from the first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Taken {
     pub blocks: u64,
--- a/crates/charter/src/fleet.rs
+++ b/crates/charter/src/fleet.rs
@@ -43,7 +43,11 @@
 pub struct Steward {
     pub name: String,
     pub zone: String,
+    /// For the number of its lives, which must not be lost.
+    pub folder: String,
     pub keepers: BTreeMap<u64, SocketAddr>,
+    /// Duties that it holds and does nothing for: who owns them is asked of the keepers.
+    pub holds: Vec<String>,
     pub gather: Option<Gather>,
 }
 
@@ -156,6 +160,8 @@
     let told = Steward {
         name: wanted(block, "name"),
         zone: block.text("zone").unwrap_or_else(|| "default".into()),
+        folder: wanted(block, "folder"),
+        holds: block.texts("holds"),
         keepers: numbered(block, "keepers"),
         gather,
     };
@@ -207,8 +213,13 @@
 
 impl Steward {
     pub(crate) fn show(&self, out: &mut String) {
-        let (name, zone) = (quoted(&self.name), quoted(&self.zone));
-        let _ = write!(out, "(steward (name {name}) (zone {zone})\n  (keepers {})", pairs(&self.keepers));
+        let (name, zone, folder) = (quoted(&self.name), quoted(&self.zone), quoted(&self.folder));
+        let keepers = pairs(&self.keepers);
+        let _ = write!(out, "(steward (name {name}) (zone {zone}) (folder {folder})\n  (keepers {keepers})");
+        if !self.holds.is_empty() {
+            let holds: Vec<String> = self.holds.iter().map(|name| quoted(name)).collect();
+            let _ = write!(out, "\n  (holds {})", holds.join(" "));
+        }
         if let Some(g) = &self.gather {
             let (traces, archive) = (quoted(&g.traces), g.archive);
             let _ = write!(out, "\n  (gather (traces {traces}) (archive \"{archive}\") (parts {})", g.parts);
@@ -234,7 +245,7 @@
     fn keepers_stewards_and_archives_read_as_they_are_shown() {
         let text = "(keeper (number 1) (listen \"127.0.0.1:0\") (folder \"k\") (peers \"1=127.0.0.1:1\" \"2=127.0.0.2:1\")
               (duty (name \"gather\") (parts 16) (zone \"a\")) (duty (name \"turns\")) (term 1s))
-            (steward (name \"s1\") (keepers \"1=127.0.0.1:1\") (gather (traces \"/t\") (archive \"127.0.0.9:1\") (parts 16)))
+            (steward (name \"s1\") (folder \"s\") (holds \"x\" \"y\") (keepers \"1=127.0.0.1:1\") (gather (traces \"/t\") (archive \"127.0.0.9:1\") (parts 16)))
             (archive (listen \"127.0.0.9:1\") (folder \"a\") (most-bytes 1GB))";
         let settings = read_settings("x", text).unwrap();
         let keeper = settings.keeper.as_ref().unwrap();
@@ -256,6 +267,7 @@
             "keeper.stall",
             "keeper.duty",
             "steward.name",
+            "steward.folder",
             "steward.keepers",
         ] {
             assert!(said.iter().any(|one| one == key), "{key}: {said:?}");
--- a/crates/cli/src/control/mod.rs
+++ b/crates/cli/src/control/mod.rs
@@ -6,8 +6,9 @@
 mod watch;
 
 use crate::say::{Done, Wrong};
+use crate::serve::runtime;
 use clap::{Args, Subcommand};
-use puffinladder_charter::settings::{read_settings, Control as Told};
+use puffinladder_charter::settings::Control as Told;
 use puffinladder_control::core::{Times, Told as Core};
 use puffinladder_control::plan::Planner;
 use puffinladder_control::resources::Subsets;
@@ -121,27 +122,10 @@
     }
 }
 
-fn runtime() -> Done<tokio::runtime::Runtime> {
-    Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?)
-}
-
 fn serve(settings: Option<PathBuf>) -> Done {
-    let path = settings.or_else(|| std::env::var_os("PUFFINLADDER_SETTINGS").map(Into::into));
-    let path =
-        path.ok_or_else(|| Wrong::Asked("--settings or PUFFINLADDER_SETTINGS should name a file".into()))?;
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(&path).map_err(|e| Wrong::Failed(format!("{name}: {e}")))?;
-    let settings = read_settings(&name, &text).map_err(|faults| {
-        Wrong::Asked(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
-    })?;
-    let told = settings.control.ok_or_else(|| Wrong::Asked(format!("{name}: has no (control ...)")))?;
-    let levels = std::env::var("RUST_LOG").ok().or(settings.log.filter).unwrap_or_else(|| "info".into());
-    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
-    let log = log.with_env_filter(tracing_subscriber::EnvFilter::builder().parse_lossy(levels));
-    match settings.log.format {
-        puffinladder_charter::settings::LogFormat::Text => log.init(),
-        puffinladder_charter::settings::LogFormat::Json => log.json().flatten_event(true).init(),
-    }
+    let (name, settings) = crate::serve::settings(settings)?;
+    let told = crate::serve::section(&name, "control", settings.control.clone())?;
+    crate::serve::log(&settings);
     runtime()?.block_on(async {
         let running = start(setup(&told)).await?;
         tracing::info!("xds on {}, reports on {}", running.xds, running.reports);
--- /dev/null
+++ b/crates/cli/src/fleet/mod.rs
@@ -0,0 +1,70 @@
+//! `puffinladder keeper`, `duties`, `steward` and `archive`: one owner at a time for work on behalf of the fleet.
+
+pub mod archive;
+pub mod duties;
+pub mod keeper;
+pub mod steward;
+
+use crate::say::{Done, Wrong};
+use puffinladder_links::{dial, say, Clock, Lines};
+use puffinladder_owners::words::Events;
+use serde::{de::DeserializeOwned, Serialize};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the proving ground hands in otherwise than an operator would.
+#[derive(Clone)]
+pub struct Ground {
+    pub clock: Clock,
+    pub events: Events,
+    /// ms that a keeper's syncs take longer.
+    pub sync_pause: Arc<AtomicU64>,
+    /// A bug in the archive that the checkers must find.
+    pub forgets_epochs: bool,
+}
+
+impl Ground {
+    pub fn usual(events: bool) -> Ground {
+        Ground {
+            clock: Clock::system(),
+            events: Events(events),
+            sync_pause: Arc::default(),
+            forgets_epochs: false,
+        }
+    }
+}
+
+/// How long an operator waits for an answer.
+const WAIT: Duration = Duration::from_secs(5);
+/// Longest answer, in bytes.
+const LONGEST: usize = 64 << 20;
+
+/// Asks a service one thing.
+pub async fn ask<A: Serialize, B: DeserializeOwned>(at: SocketAddr, ask: &A) -> Result<B, String> {
+    let named = |what: String| format!("{at}: {what}");
+    let mut stream = dial(at).await.map_err(|e| named(e.to_string()))?;
+    say(&mut stream, ask, WAIT).await.map_err(|e| named(e.to_string()))?;
+    let answer = Lines::new(stream, LONGEST).within(WAIT).await.map_err(|e| named(e.to_string()))?;
+    answer.ok_or_else(|| named("closed without an answer".into()))
+}
+
+fn failed(what: String) -> Wrong {
+    Wrong::Failed(what)
+}
+
+/// A table for people: columns as wide as what stands in them.
+fn print(rows: &[Vec<String>]) -> Done {
+    use std::io::Write;
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |at: usize| rows.iter().filter_map(|row| row.get(at)).map(|text| text.chars().count()).max();
+    let widths: Vec<usize> = (0..columns).map(|at| width(at).unwrap_or(0)).collect();
+    let mut out = std::io::stdout().lock();
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(text, width)| format!("{text:<width$}", width = *width)).collect();
+        writeln!(out, "{}", cells.join("  ").trim_end())?;
+    }
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,8 +6,11 @@
 
 mod check;
 mod control;
+mod fleet;
 mod measure;
+mod prove;
 mod say;
+mod serve;
 mod trace;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -61,6 +64,16 @@
     },
     /// Serve the servers' decisions to proxies over xDS
     Control(control::Line),
+    /// Keep, with two or four others, the table of who owns what for the fleet
+    Keeper(fleet::keeper::Line),
+    /// Who owns what for the fleet; move and pause it
+    Duties(fleet::duties::Line),
+    /// Do for the fleet what the keepers grant
+    Steward(fleet::steward::Line),
+    /// Take gathered traces in, each piece once
+    Archive(fleet::archive::Line),
+    /// Start many processes, put faults between them, and check what they did
+    Prove(prove::Line),
     /// Ask, cut, merge, veil and mend traces
     Trace {
         #[command(subcommand)]
@@ -92,6 +105,11 @@
         }
         Command::Check { file } => check::check(&file),
         Command::Control(line) => control::run(line),
+        Command::Keeper(line) => fleet::keeper::run(line),
+        Command::Duties(line) => fleet::duties::run(line),
+        Command::Steward(line) => fleet::steward::run(line),
+        Command::Archive(line) => fleet::archive::run(line),
+        Command::Prove(line) => prove::run(line),
         Command::Trace { command } => trace::run(command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/owners/src/holder.rs
+++ b/crates/owners/src/holder.rs
@@ -128,6 +128,16 @@
         self.leaving = true;
     }
 
+    /// The next line is due at once: a keeper that may have heard none is spoken to.
+    pub fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
+    /// Whether anything that was given back is not known to be heard.
+    pub fn owes(&self) -> bool {
+        !self.given.is_empty() || !self.lingers.is_empty()
+    }
+
     /// When the next line is due; at once after news.
     pub fn due(&self) -> f64 {
         match self.asked {
--- /dev/null
+++ b/crates/steward/src/serve.rs
@@ -0,0 +1,335 @@
+//! The process: one task owns the [`Holder`], steps run beside it and come back with what they got done. The clock is looked at before every step and
+//! whenever anything happens.
+
+use crate::haul::{Came, Haul, Told};
+use crate::link::{Link, News};
+use puffinladder_links::Clock;
+use puffinladder_owners::holder::{Act, Holder, Stage, Why};
+use puffinladder_owners::route::{Next, Route};
+use puffinladder_owners::table::Refused;
+use puffinladder_owners::words::{Answer, Ask, Event, Events};
+use puffinladder_owners::{Duty, Epoch, Owner};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+/// How a steward is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub name: String,
+    pub zone: String,
+    /// Rises with every start.
+    pub incarnation: u64,
+    pub keepers: BTreeMap<u64, SocketAddr>,
+    pub gather: Option<Told>,
+    /// Duties that it holds beside: nothing is done for them here, whoever asks who owns them learns it from the keepers.
+    pub holds: Vec<String>,
+    pub clock: Clock,
+    pub events: Events,
+}
+
+/// The term until a keeper tells it: s.
+const TERM: f64 = 2.0;
+/// s without an answer to any line after which another keeper is tried.
+const SILENT: f64 = 0.5;
+/// Share of what is left of a term that a step may take: its last effect has to arrive too.
+const STEP: f64 = 0.8;
+/// Longest s between two looks at the clock.
+const LOOK: f64 = 0.25;
+/// s for which a steward that leaves waits until all is handed over.
+const LEAVE: f64 = 5.0;
+/// Bounded waits of the main task for its own parts: news of links, ends of steps.
+const NEWS: usize = 256;
+
+/// What a step gives back.
+struct Stepped {
+    duty: Duty,
+    epoch: Epoch,
+    haul: Haul,
+    came: Came,
+}
+
+/// The work on one grant.
+struct Work {
+    epoch: Epoch,
+    /// Away while a step is under way.
+    haul: Option<Haul>,
+    /// Not before then, where there was nothing to do.
+    due: f64,
+}
+
+pub struct Running {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Running {
+    /// Hands everything over, then ends.
+    pub async fn stop(self) {
+        let _ = self.stop.send(true);
+        let _ = self.task.await;
+    }
+    /// Until it ends by itself, which only a later life of it makes it do.
+    pub async fn ended(&mut self) {
+        let _ = (&mut self.task).await;
+    }
+    pub fn kill(self) {
+        self.task.abort();
+    }
+}
+
+pub fn start(setup: Setup) -> Running {
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(Steward::new(setup).work(stopped));
+    Running { stop, task }
+}
+
+struct Steward {
+    setup: Setup,
+    holder: Holder,
+    route: Route<SocketAddr>,
+    link: Option<Link>,
+    links: u64,
+    /// When the line was sent that is not answered yet.
+    unanswered: Option<f64>,
+    works: BTreeMap<Duty, Work>,
+    news: mpsc::Sender<(u64, News)>,
+    steps: mpsc::Sender<Stepped>,
+    heard: bool,
+}
+
+impl Steward {
+    fn new(setup: Setup) -> Steward {
+        let me = Owner::new(&setup.name, setup.incarnation);
+        let wants = setup.gather.iter().map(|_| "gather".to_string()).chain(setup.holds.iter().cloned());
+        let seed = puffinladder_owners::assign::rank("route", setup.incarnation as u32, &setup.name);
+        // What is received in place of these comes with the two channels of `work`.
+        let (news, _) = mpsc::channel(1);
+        let (steps, _) = mpsc::channel(1);
+        Steward {
+            holder: Holder::new(me, &setup.zone, wants, TERM),
+            route: Route::new(setup.keepers.clone(), seed),
+            setup,
+            link: None,
+            links: 0,
+            unanswered: None,
+            works: BTreeMap::new(),
+            news,
+            steps,
+            heard: true,
+        }
+    }
+
+    async fn work(mut self, mut stopped: watch::Receiver<bool>) {
+        let (news, mut on_links) = mpsc::channel(NEWS);
+        let (steps, mut ended) = mpsc::channel(NEWS);
+        (self.news, self.steps) = (news, steps);
+        let clock = self.setup.clock.clone();
+        let mut leave_by = f64::MAX;
+        loop {
+            let wait = self.wait(clock.now());
+            tokio::select! {
+                Some((number, news)) = on_links.recv() => self.hear(clock.now(), number, news),
+                Some(stepped) = ended.recv() => self.stepped(clock.now(), stepped),
+                _ = stopped.changed(), if leave_by == f64::MAX => {
+                    tracing::info!("{}: was told to leave, hands over", self.holder.me());
+                    leave_by = clock.now() + LEAVE;
+                    self.holder.leave();
+                    let acts = self.holder.holds().map(|(duty, epoch)| Act::Yield(duty.clone(), epoch)).collect();
+                    self.carry(clock.now(), acts);
+                }
+                _ = tokio::time::sleep(wait) => {}
+            }
+            let now = clock.now();
+            let acts = self.holder.look(now);
+            self.carry(now, acts);
+            self.speak(now);
+            self.begin_steps(now);
+            if now >= leave_by || self.done(leave_by) {
+                return;
+            }
+        }
+    }
+
+    /// Whether nothing is held and the keepers know, or this life is over.
+    fn done(&self, leave_by: f64) -> bool {
+        let over = self.holder.refused() == Some(Refused::Superseded);
+        let empty =
+            self.holder.holds().next().is_none() && self.works.values().all(|work| work.haul.is_some());
+        over || (leave_by < f64::MAX && empty && !self.holder.owes())
+    }
+
+    /// How long nothing is due.
+    fn wait(&self, now: f64) -> Duration {
+        let mut next = now + LOOK;
+        if self.link.is_some() {
+            next = next.min(self.holder.due());
+            next = self.unanswered.map_or(next, |sent| next.min(sent + SILENT));
+        } else if let Next::Wait(until) = self.route.next(now) {
+            next = next.min(until);
+        } else {
+            next = now;
+        }
+        let works = self.works.values().filter(|work| work.haul.is_some()).map(|work| work.due);
+        self.setup.clock.sleep(works.fold(next, f64::min).max(now + 0.001) - now)
+    }
+
+    /// Sends the line that is due, and turns to another keeper where this one is silent.
+    fn speak(&mut self, now: f64) {
+        if self.unanswered.is_some_and(|sent| now - sent >= SILENT) {
+            self.lost(now, "does not answer");
+        }
+        match &self.link {
+            None => {
+                if let Next::Dial(to) = self.route.next(now) {
+                    if let Some(at) = self.route.address(to).copied() {
+                        self.links += 1;
+                        self.link = Some(Link::open(self.links, at, self.news.clone()));
+                        // The dial has a bound of its own.
+                        self.unanswered = None;
+                    }
+                }
+            }
+            Some(link) if self.route.open().is_some() => {
+                if let Some(said) = self.holder.ask(now) {
+                    if link.say(Ask::Say(said)) {
+                        self.unanswered.get_or_insert(now);
+                    } else {
+                        self.lost(now, "does not read");
+                    }
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn lost(&mut self, now: f64, what: &str) {
+        tracing::debug!("{}: the keeper {what}", self.holder.me());
+        (self.link, self.unanswered) = (None, None);
+        self.route.failed(now);
+        self.hears(false);
+    }
+
+    /// Told once, not with every try.
+    fn hears(&mut self, heard: bool) {
+        if heard != self.heard {
+            let what = if heard {
+                "hears from the keepers again"
+            } else {
+                "hears from no keeper, goes on while its term lasts"
+            };
+            tracing::info!("{}: {what}", self.holder.me());
+            self.heard = heard;
+        }
+    }
+
+    fn hear(&mut self, now: f64, number: u64, news: News) {
+        if self.link.as_ref().is_none_or(|link| link.number != number) {
+            return; // of a connection that was given up
+        }
+        match news {
+            News::Open => {
+                self.route.dialled();
+                // Whoever is new there has heard nothing yet: the next line is due at once.
+                self.holder.hurry();
+            }
+            News::Answer(Answer::Told(told)) => {
+                self.unanswered = None;
+                self.route.answered();
+                self.hears(true);
+                let acts = self.holder.told(now, &told);
+                if let Some(refused) = told.refused {
+                    tracing::warn!("{}: the keepers refuse it: {refused:?}", self.holder.me());
+                }
+                self.carry(now, acts);
+            }
+            News::Answer(Answer::Elsewhere { leader, address }) => {
+                (self.link, self.unanswered) = (None, None);
+                let address = address.and_then(|text| text.parse().ok());
+                self.route.elsewhere(now, leader.map(|number| (number, address)));
+            }
+            News::Answer(other) => self.lost(now, &format!("says {other:?}")),
+            News::Over(what) => self.lost(now, &what),
+        }
+    }
+
+    /// Does what the holder says.
+    fn carry(&mut self, now: f64, acts: Vec<Act>) {
+        let me = self.holder.me().clone();
+        for act in acts {
+            match act {
+                Act::Begin(duty, epoch) => {
+                    tracing::info!("{me}: begins with {duty}, epoch {epoch}");
+                    self.setup.events.tell(&Event::Begin { owner: me.clone(), duty: duty.clone(), epoch });
+                    let told = self.setup.gather.clone().filter(|_| duty.name == "gather");
+                    if let Some(told) = told {
+                        let haul = Some(Haul::new(told, duty.clone(), epoch));
+                        self.works.insert(duty, Work { epoch, haul, due: now });
+                    }
+                }
+                Act::Yield(duty, epoch) => {
+                    let idle = self.works.get(&duty).is_none_or(|work| work.haul.is_some());
+                    let down = if idle { self.holder.ended(&duty, epoch) } else { None };
+                    self.carry(now, down.into_iter().collect());
+                }
+                Act::StandDown(duty, epoch, why) => {
+                    tracing::info!("{me}: stands down from {duty}, epoch {epoch}: {}", text(why));
+                    let owner = me.clone();
+                    let why = text(why).to_string();
+                    self.setup.events.tell(&Event::Down { owner, duty: duty.clone(), epoch, why });
+                    if self.works.get(&duty).is_some_and(|work| work.epoch == epoch) {
+                        // A step that is under way comes back to nobody, and is told to the holder alone.
+                        self.works.remove(&duty);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins steps where one is due and the term allows it.
+    fn begin_steps(&mut self, now: f64) {
+        for (duty, work) in &mut self.works {
+            if now < work.due || work.haul.is_none() {
+                continue;
+            }
+            let Some((epoch, until)) = self.holder.may(now, duty) else { continue };
+            let Some(mut haul) = work.haul.take() else { continue };
+            let (clock, steps, duty) = (self.setup.clock.clone(), self.steps.clone(), duty.clone());
+            let until = now + STEP * (until - now);
+            tokio::spawn(async move {
+                let came = haul.step(&clock, until).await;
+                let _ = steps.send(Stepped { duty, epoch, haul, came }).await;
+            });
+        }
+    }
+
+    fn stepped(&mut self, now: f64, stepped: Stepped) {
+        let Stepped { duty, epoch, haul, came } = stepped;
+        let mut acts = self.holder.stepped(now, &duty, epoch, came.progress, came.work);
+        if came.fenced {
+            acts.extend(self.holder.fenced(&duty, epoch));
+        }
+        if let Some(work) = self.works.get_mut(&duty).filter(|work| work.epoch == epoch) {
+            // With nothing to do, or nothing done, it rests until the next look.
+            work.due = if came.work && came.progress { now } else { now + haul.rest() };
+            work.haul = Some(haul);
+        }
+        self.carry(now, acts);
+        let holds = |duty: &Duty| self.holder.holds().any(|(held, of)| held == duty && of == epoch);
+        if holds(&duty) && self.holder.stage(now, &duty) == Stage::Yields {
+            self.carry(now, vec![Act::Yield(duty, epoch)]);
+        }
+    }
+}
+
+fn text(why: Why) -> &'static str {
+    match why {
+        Why::TermOver => "its term is over",
+        Why::HandedOver => "handed over",
+        Why::Unlisted => "the keepers no longer list it",
+        Why::Superseded => "a later life of this instance has spoken",
+        Why::Fenced => "a fence has seen a later epoch",
+    }
+}
