--- a/crates/cli/src/prove.rs
+++ b/crates/cli/src/prove.rs
@@ -1,23 +1,85 @@
 //! `puffinladder prove`: the proving ground, and the processes that it starts.
 
 use crate::fleet::{archive, keeper, steward, Ground};
-use crate::say::Done;
+use crate::say::{bar, Done, Wrong};
 use crate::serve;
 use clap::{Args, Subcommand, ValueEnum};
 use puffinladder_links::Clock;
 use puffinladder_owners::words::Events;
+use puffinladder_proving::check::Counts;
+use puffinladder_proving::ground::{play, Run, Setup};
+use puffinladder_proving::picture;
+use puffinladder_proving::process::Program;
+use puffinladder_proving::schedule::Schedule;
+use puffinladder_proving::shrink::shrink;
 use std::io::BufRead;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 
 #[derive(Args)]
+#[command(
+    args_conflicts_with_subcommands = true,
+    after_help = "Examples:\n  puffinladder prove schedule.scm --keep runs\n  puffinladder prove random --seed 1 --count 20 --stewards 14\n\n\
+        What fails leaves a folder with the schedule, the history, all logs and a picture."
+)]
 pub struct Line {
+    /// A schedule, see docs/ops/owners.md
+    schedule: Option<PathBuf>,
+    /// Keep the run in a folder here, whatever came of it
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+    /// Plant a bug: the archive forgets the epochs that it has seen when it starts anew
+    #[arg(long)]
+    plant: bool,
     #[command(subcommand)]
-    command: Command,
+    command: Option<Command>,
+}
+
+#[derive(Args)]
+struct Size {
+    #[arg(long, default_value_t = 3)]
+    keepers: u64,
+    #[arg(long, default_value_t = 4)]
+    stewards: usize,
+    /// Servers whose traces are gathered
+    #[arg(long, default_value_t = 8)]
+    servers: usize,
+    /// Parts of that duty
+    #[arg(long, default_value_t = 8)]
+    parts: usize,
+    /// s of traffic and faults
+    #[arg(long, default_value_t = 8.0)]
+    span: f64,
+    /// s of a grant's term
+    #[arg(long, default_value_t = 0.6)]
+    term: f64,
 }
 
 #[derive(Subcommand)]
 enum Command {
+    /// Schedules drawn from seeds, one after the other or several at once
+    #[command(
+        after_help = "Example:\n  puffinladder prove random --seed 1 --count 500 --stewards 16 --jobs 3"
+    )]
+    Random {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 10)]
+        count: u64,
+        /// Schedules at once; too many, and it is the machine that fails
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// Where runs that failed are kept
+        #[arg(long, default_value = "prove-failed")]
+        failed: PathBuf,
+        /// Cut a schedule that fails down to the least that does, with so many tries
+        #[arg(long, default_value_t = 0)]
+        shrink: usize,
+        #[arg(long)]
+        plant: bool,
+        #[command(flatten)]
+        size: Size,
+    },
     /// One process of the ground; its clock and its disk are at the ground's mercy, which tells it on standard input
     #[command(hide = true)]
     Part {
@@ -47,8 +109,22 @@
 }
 
 pub fn run(line: Line) -> Done {
-    match line.command {
-        Command::Part { kind, settings, found, join, rate, wall, forgets_epochs } => {
+    match (line.command, line.schedule) {
+        (None, None) => Err(Wrong::Asked("a schedule or a command should be given, see --help".into())),
+        (None, Some(path)) => one(&path, line.keep, line.plant),
+        (Some(Command::Random { seed, count, jobs, failed, shrink, plant, size }), _) => {
+            let size = Schedule {
+                keepers: size.keepers,
+                stewards: size.stewards,
+                servers: size.servers,
+                parts: size.parts,
+                span: size.span,
+                term: size.term,
+                ..Schedule::default()
+            };
+            random(seed, count, jobs.max(1), failed, shrink, plant, &size)
+        }
+        (Some(Command::Part { kind, settings, found, join, rate, wall, forgets_epochs }), _) => {
             let clock = Clock::skewed(rate, wall);
             let ground =
                 Ground { clock, events: Events(true), sync_pause: Default::default(), forgets_epochs };
@@ -57,6 +133,120 @@
     }
 }
 
+/// How the ground starts the processes: as this program's hidden command.
+fn ground(folder: PathBuf, keep: bool, plant: bool) -> Done<Setup> {
+    let path = std::env::current_exe()?;
+    let program = Program { path, before: vec!["prove".into(), "part".into()] };
+    Ok(Setup { program, folder, keep, forgets_epochs: plant })
+}
+
+fn one(path: &Path, keep: Option<PathBuf>, plant: bool) -> Done {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| Wrong::Failed(format!("{name}: {e}")))?;
+    let schedule = Schedule::read(&name, &text).map_err(|faults| {
+        Wrong::Asked(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+    })?;
+    let folder = keep.clone().unwrap_or_else(|| "prove-failed".into());
+    let setup = ground(folder, keep.is_some(), plant)?;
+    let run = serve::runtime()?.block_on(play(&schedule, &setup)).map_err(Wrong::Failed)?;
+    tell(&run, schedule.seed)?;
+    if run.failures.is_empty() {
+        println!("{}", sum(&run.counts, run.rows));
+        return Ok(());
+    }
+    Err(Wrong::Failed(format!("{} things do not hold", run.failures.len())))
+}
+
+fn sum(counts: &Counts, rows: usize) -> String {
+    format!(
+        "{rows} rows gathered once each, {} effects, {} grants, {} leaders, {} repeats, {} late effects refused, 0 accepted",
+        counts.effects, counts.grants, counts.leaders, counts.repeats, counts.late
+    )
+}
+
+/// Says what failed, and draws what is kept.
+fn tell(run: &Run, seed: u64) -> Done {
+    for failure in &run.failures {
+        eprintln!("puffinladder: seed {seed}: {failure}");
+    }
+    if let Some(folder) = &run.folder {
+        let drawn = picture::draw(&format!("schedule {seed}"), &run.history)
+            .map_err(|e| Wrong::Failed(e.to_string()))?;
+        std::fs::write(folder.join("run.svg"), drawn)?;
+        eprintln!("puffinladder: seed {seed}: kept in {}", folder.display());
+    }
+    Ok(())
+}
+
+fn random(
+    seed: u64,
+    count: u64,
+    jobs: usize,
+    failed: PathBuf,
+    tries: usize,
+    plant: bool,
+    size: &Schedule,
+) -> Done {
+    let setup = ground(failed, false, plant)?;
+    let runtime = serve::runtime()?;
+    let shown = bar("schedules");
+    shown.set_length(count);
+    let (mut counts, mut rows, mut bad) = (Counts::default(), 0, Vec::new());
+    let (mut owned, mut late) = (Vec::new(), 0.0f64);
+    let mut next = seed;
+    let mut done = 0;
+    let begin = |seed: u64| {
+        let (schedule, setup) = (Schedule::draw(seed, size), setup.clone());
+        async move { (seed, play(&schedule, &setup).await) }
+    };
+    runtime.block_on(async {
+        let mut under_way = tokio::task::JoinSet::new();
+        while done < count {
+            while under_way.len() < jobs && next < seed + count {
+                under_way.spawn(begin(next));
+                next += 1;
+            }
+            let Some(ended) = under_way.join_next().await else { break };
+            let (of, run) = ended.map_err(|e| Wrong::Failed(e.to_string()))?;
+            done += 1;
+            shown.set_position(done);
+            let run = run.map_err(|what| Wrong::Failed(format!("seed {of}: {what}")))?;
+            tell(&run, of)?;
+            counts += run.counts;
+            rows += run.rows;
+            late = late.max(run.late);
+            if run.failures.is_empty() {
+                owned.push(run.owned);
+            } else {
+                bad.push(of);
+            }
+        }
+        Done::Ok(())
+    })?;
+    shown.finish_and_clear();
+    owned.sort_by(f64::total_cmp);
+    let at = |share: f64| {
+        owned
+            .get(((owned.len() as f64 * share) as usize).min(owned.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(0.0)
+    };
+    println!("{count} schedules from seed {seed}: {}", sum(&counts, rows));
+    println!("all owned again {:.2} s after the last fault in the median, {:.2} at p99; the ground was late by {late:.3} s at the most", at(0.5), at(0.99));
+    if bad.is_empty() {
+        return Ok(());
+    }
+    if tries > 0 {
+        let first = Schedule::draw(bad[0], size);
+        eprintln!("puffinladder: cuts seed {} down", bad[0]);
+        let fails = |schedule: &Schedule| {
+            runtime.block_on(play(schedule, &setup)).is_ok_and(|run| !run.failures.is_empty())
+        };
+        println!("{}", shrink(&first, tries, fails));
+    }
+    Err(Wrong::Failed(format!("schedules {bad:?} failed")))
+}
+
 fn part(kind: Kind, settings: PathBuf, found: bool, join: bool, ground: &Ground) -> Done {
     let (name, settings) = serve::settings(Some(settings))?;
     serve::log(&settings);
--- /dev/null
+++ b/crates/proving/src/check.rs
@@ -0,0 +1,298 @@
+//! What has to hold of every history. A checker reads what processes told, and nothing of how they came to it.
+
+use crate::history::History;
+use puffinladder_owners::fence::Verdict;
+use puffinladder_owners::table::{Change, What};
+use puffinladder_owners::words::Event;
+use puffinladder_owners::{Duty, Epoch, Owner};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// What is wrong in a history.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Broken {
+    /// An epoch was given to two, or a duty's epochs did not rise.
+    EpochTwice {
+        epoch: Epoch,
+        first: String,
+        then: String,
+    },
+    EpochFell {
+        duty: Duty,
+        from: Epoch,
+        to: Epoch,
+    },
+    /// Keepers saw different things under one epoch.
+    KeepersDiffer {
+        keeper: String,
+        epoch: Epoch,
+    },
+    /// Two keepers led in one term.
+    TwoLead {
+        term: u64,
+        one: String,
+        other: String,
+    },
+    /// An effect stood though its fence had seen a later epoch.
+    LateLanded {
+        duty: Duty,
+        epoch: Epoch,
+        seen: Epoch,
+        piece: String,
+    },
+    /// An effect stood under an epoch that nobody was given, or that another part was.
+    NobodysEpoch {
+        duty: Duty,
+        epoch: Epoch,
+    },
+    /// Effects of one epoch did not stand in their order.
+    OutOfOrder {
+        duty: Duty,
+        epoch: Epoch,
+        number: u64,
+    },
+    PieceTwice {
+        piece: String,
+    },
+    /// An instance said that it began with a grant that another was given.
+    NotGiven {
+        owner: Owner,
+        duty: Duty,
+        epoch: Epoch,
+    },
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Broken::EpochTwice { epoch, first, then } => {
+                write!(out, "epoch {epoch} was given twice: {first}, then {then}")
+            }
+            Broken::EpochFell { duty, from, to } => write!(out, "{duty}: epochs fell from {from} to {to}"),
+            Broken::KeepersDiffer { keeper, epoch } => {
+                write!(out, "{keeper} saw something else under epoch {epoch} than another keeper")
+            }
+            Broken::TwoLead { term, one, other } => write!(out, "{one} and {other} led in term {term}"),
+            Broken::LateLanded { duty, epoch, seen, piece } => {
+                write!(out, "{duty}: {piece} landed under epoch {epoch} though {seen} had been seen")
+            }
+            Broken::NobodysEpoch { duty, epoch } => {
+                write!(out, "{duty}: an effect landed under epoch {epoch}, which nobody was given for it")
+            }
+            Broken::OutOfOrder { duty, epoch, number } => {
+                write!(out, "{duty}: effect {number} of epoch {epoch} landed out of its order")
+            }
+            Broken::PieceTwice { piece } => write!(out, "{piece} was taken twice"),
+            Broken::NotGiven { owner, duty, epoch } => {
+                write!(out, "{owner} began with {duty} under epoch {epoch}, which it was not given")
+            }
+        }
+    }
+}
+
+/// What a history held, so that a run in which nothing was tried is told from one in which nothing went wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub grants: u64,
+    pub effects: u64,
+    /// Effects that came late and were refused.
+    pub late: u64,
+    pub repeats: u64,
+    pub leaders: u64,
+}
+
+impl std::ops::AddAssign for Counts {
+    fn add_assign(&mut self, other: Counts) {
+        self.grants += other.grants;
+        self.effects += other.effects;
+        self.late += other.late;
+        self.repeats += other.repeats;
+        self.leaders += other.leaders;
+    }
+}
+
+/// Reads a whole history.
+pub fn check(history: &History) -> (Counts, Vec<Broken>) {
+    let mut counts = Counts::default();
+    let mut broken = Vec::new();
+    let given = grants(history, &mut counts, &mut broken);
+    leaders(history, &mut counts, &mut broken);
+    fence(history, &given, &mut counts, &mut broken);
+    for (_, event) in history.told() {
+        if let Event::Begin { owner, duty, epoch } = event {
+            if given.get(epoch) != Some(&(duty.clone(), owner.clone())) {
+                let (owner, duty, epoch) = (owner.clone(), duty.clone(), *epoch);
+                broken.push(Broken::NotGiven { owner, duty, epoch });
+            }
+        }
+    }
+    (counts, broken)
+}
+
+/// Every grant as some keeper saw it. A keeper that starts anew tells again what it reads off its disk: that must be the same.
+fn grants(
+    history: &History,
+    counts: &mut Counts,
+    broken: &mut Vec<Broken>,
+) -> BTreeMap<Epoch, (Duty, Owner)> {
+    let mut seen: BTreeMap<(Epoch, u8), &Change> = BTreeMap::new();
+    let mut given = BTreeMap::new();
+    let mut highest: BTreeMap<(&str, u32, &Duty), Epoch> = BTreeMap::new();
+    for (entry, event) in history.told() {
+        let Event::Change(change) = event else { continue };
+        match seen.get(&(change.epoch, change.what as u8)) {
+            None => drop(seen.insert((change.epoch, change.what as u8), change)),
+            Some(first) if *first == change => {}
+            Some(first) if change.what == What::Given => {
+                let text = |change: &Change| format!("{} to {}", change.duty, change.owner);
+                let (first, then) = (text(first), text(change));
+                broken.push(Broken::EpochTwice { epoch: change.epoch, first, then });
+            }
+            Some(_) => {
+                let (keeper, epoch) = (entry.who.clone(), change.epoch);
+                broken.push(Broken::KeepersDiffer { keeper, epoch });
+            }
+        }
+        if change.what == What::Given {
+            if given.insert(change.epoch, (change.duty.clone(), change.owner.clone())).is_none() {
+                counts.grants += 1;
+            }
+            let last = highest.entry((&entry.who, entry.life, &change.duty)).or_default();
+            if change.epoch <= *last {
+                let (duty, from, to) = (change.duty.clone(), *last, change.epoch);
+                broken.push(Broken::EpochFell { duty, from, to });
+            }
+            *last = change.epoch;
+        }
+    }
+    given
+}
+
+fn leaders(history: &History, counts: &mut Counts, broken: &mut Vec<Broken>) {
+    let mut of: BTreeMap<u64, &str> = BTreeMap::new();
+    for (entry, event) in history.told() {
+        let Event::Leads { term, .. } = event else { continue };
+        match of.insert(*term, &entry.who) {
+            Some(one) if one != entry.who => {
+                let (one, other) = (one.to_string(), entry.who.clone());
+                broken.push(Broken::TwoLead { term: *term, one, other });
+            }
+            Some(_) => {}
+            None => counts.leaders += 1,
+        }
+    }
+}
+
+/// What the fence let stand, in the order in which it did.
+fn fence(
+    history: &History,
+    given: &BTreeMap<Epoch, (Duty, Owner)>,
+    counts: &mut Counts,
+    broken: &mut Vec<Broken>,
+) {
+    let mut seen: BTreeMap<&Duty, (Epoch, u64)> = BTreeMap::new();
+    let mut pieces: BTreeSet<&str> = BTreeSet::new();
+    for (_, event) in history.told() {
+        let Event::Judged { duty, epoch, number, piece, verdict } = event else { continue };
+        match verdict {
+            Verdict::Late { .. } => counts.late += u64::from(piece.is_some()),
+            Verdict::Repeat if piece.is_some() => counts.repeats += 1,
+            _ => {}
+        }
+        if *verdict != Verdict::New {
+            continue;
+        }
+        let last = seen.entry(duty).or_default();
+        if *epoch < last.0 {
+            let piece = piece.clone().unwrap_or_else(|| "an announcement".into());
+            broken.push(Broken::LateLanded { duty: duty.clone(), epoch: *epoch, seen: last.0, piece });
+            continue;
+        }
+        if given.get(epoch).is_none_or(|(of, _)| of != duty) {
+            broken.push(Broken::NobodysEpoch { duty: duty.clone(), epoch: *epoch });
+        }
+        let Some(piece) = piece else {
+            *last = (*epoch, 0);
+            continue;
+        };
+        counts.effects += 1;
+        if (*epoch, *number) != (last.0, last.1 + 1) {
+            broken.push(Broken::OutOfOrder { duty: duty.clone(), epoch: *epoch, number: *number });
+        }
+        *last = (*epoch, *number);
+        if !pieces.insert(piece) {
+            broken.push(Broken::PieceTwice { piece: piece.clone() });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::history::Happened;
+    use puffinladder_owners::table::Cause;
+
+    fn duty() -> Duty {
+        Duty::new("gather", 0)
+    }
+
+    fn given(epoch: Epoch, to: &str) -> Event {
+        let (at, duty, owner) = (epoch as f64, duty(), Owner::new(to, 1));
+        Event::Change(Change { at, duty, owner, epoch, what: What::Given, cause: Cause::Vacant })
+    }
+
+    fn judged(epoch: Epoch, number: u64, piece: Option<&str>, verdict: Verdict) -> Event {
+        Event::Judged { duty: duty(), epoch, number, piece: piece.map(String::from), verdict }
+    }
+
+    fn history(events: Vec<(&str, Event)>) -> History {
+        let mut history = History::default();
+        for (who, event) in events {
+            history.tell(0.0, who, 1, Happened::Told(event));
+        }
+        history
+    }
+
+    /// A sound beginning: two owners after each other, the first one late in the end.
+    fn sound() -> Vec<(&'static str, Event)> {
+        vec![
+            ("k1", given(1, "s1")),
+            ("k2", given(1, "s1")),
+            ("s1", Event::Begin { owner: Owner::new("s1", 1), duty: duty(), epoch: 1 }),
+            ("archive", judged(1, 0, None, Verdict::New)),
+            ("archive", judged(1, 1, Some("a#0"), Verdict::New)),
+            ("k1", given(2, "s2")),
+            ("archive", judged(2, 0, None, Verdict::New)),
+            ("archive", judged(1, 2, Some("a#1"), Verdict::Late { seen: 2 })),
+            ("archive", judged(2, 1, Some("a#1"), Verdict::New)),
+        ]
+    }
+
+    #[test]
+    fn a_sound_history_passes_and_says_what_was_tried() {
+        let (counts, broken) = check(&history(sound()));
+        assert_eq!(broken, []);
+        assert_eq!((counts.grants, counts.effects, counts.late), (2, 2, 1));
+    }
+
+    #[test]
+    fn each_kind_of_harm_is_found() {
+        let leads = |keeper, term| Event::Leads { keeper, term };
+        let begin = |name: &str| Event::Begin { owner: Owner::new(name, 1), duty: duty(), epoch: 2 };
+        let harms: Vec<(Vec<(&str, Event)>, &str)> = vec![
+            (vec![("archive", judged(1, 2, Some("a#2"), Verdict::New))], "though 2 had been seen"),
+            (vec![("archive", judged(1, 0, None, Verdict::New))], "an announcement landed"),
+            (vec![("archive", judged(2, 3, Some("a#2"), Verdict::New))], "out of its order"),
+            (vec![("archive", judged(2, 2, Some("a#1"), Verdict::New))], "taken twice"),
+            (vec![("archive", judged(9, 0, None, Verdict::New))], "which nobody was given"),
+            (vec![("k3", given(2, "s3"))], "epoch 2 was given twice"),
+            (vec![("k1", given(2, "s2"))], "epochs fell from 2 to 2"),
+            (vec![("k1", leads(1, 5)), ("k2", leads(2, 5))], "k1 and k2 led in term 5"),
+            (vec![("s1", begin("s1"))], "which it was not given"),
+        ];
+        for (harm, wanted) in harms {
+            let (_, broken) = check(&history([sound(), harm].concat()));
+            assert!(broken.iter().any(|one| one.to_string().contains(wanted)), "{wanted}: {broken:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/proving/src/history.rs
@@ -0,0 +1,94 @@
+//! All that happened in a run, in the order in which the ground heard of it; a file of it is a line of JSON each.
+
+use crate::schedule::Who;
+use puffinladder_owners::words::Event;
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, Write};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// s since all processes stood.
+    pub at: f64,
+    /// As in `k1`, `s1`, `archive`, or `ground`.
+    pub who: String,
+    /// Starts of that process so far.
+    pub life: u32,
+    pub what: Happened,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Happened {
+    /// What the process itself told.
+    Told(Event),
+    /// What the ground did: a fault began, or ended.
+    Begun {
+        fault: String,
+    },
+    Healed {
+        fault: String,
+    },
+    Started,
+    Ended {
+        how: String,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct History {
+    pub entries: Vec<Entry>,
+}
+
+impl History {
+    pub fn tell(&mut self, at: f64, who: impl ToString, life: u32, what: Happened) {
+        self.entries.push(Entry { at, who: who.to_string(), life, what });
+    }
+
+    /// What processes told, by name.
+    pub fn told(&self) -> impl Iterator<Item = (&Entry, &Event)> {
+        self.entries.iter().filter_map(|entry| match &entry.what {
+            Happened::Told(event) => Some((entry, event)),
+            _ => None,
+        })
+    }
+
+    pub fn write(&self, mut to: impl Write) -> std::io::Result<()> {
+        for entry in &self.entries {
+            serde_json::to_writer(&mut to, entry)?;
+            to.write_all(b"\n")?;
+        }
+        to.flush()
+    }
+
+    /// Reads a file of it. A last line that was cut off is left out; any other that can't be read is named by its number.
+    pub fn read(from: impl BufRead) -> Result<History, String> {
+        let mut history = History::default();
+        let lines: Vec<String> = from.lines().collect::<Result<_, _>>().map_err(|e| e.to_string())?;
+        for (at, line) in lines.iter().enumerate() {
+            match serde_json::from_str(line) {
+                Ok(entry) => history.entries.push(entry),
+                Err(_) if at + 1 == lines.len() => break,
+                Err(e) => return Err(format!("line {}: {e}", at + 1)),
+            }
+        }
+        Ok(history)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_history_reads_back_and_a_torn_one_up_to_its_last_whole_line() {
+        let mut history = History::default();
+        history.tell(0.5, Who::Archive, 1, Happened::Told(Event::Ready { listen: "127.0.0.1:1".into() }));
+        history.tell(1.5, Who::Steward(2), 1, Happened::Ended { how: "killed".into() });
+        let mut bytes = Vec::new();
+        history.write(&mut bytes).unwrap();
+        assert_eq!(History::read(&bytes[..]).unwrap(), history);
+        let torn = History::read(&bytes[..bytes.len() - 9]).unwrap();
+        assert_eq!(torn.entries, history.entries[..1]);
+        assert!(History::read(&b"{}\n{}\n"[..]).unwrap_err().starts_with("line 1: "));
+    }
+}
--- a/crates/proving/src/lib.rs
+++ b/crates/proving/src/lib.rs
@@ -1,1 +1,18 @@
+//! The proving ground (`docs/proving.md`): starts many real processes of the program, each on an address of its own, puts links of its own between them,
+//! and makes both fail as a schedule says. All that happened goes into one history, which checkers read afterwards.
+//!
+//! [`schedule`] says what fails when, drawn from a seed or written by hand; [`shrink`] cuts a failing one down; [`pipe`] decides when bytes may pass a
+//! link; [`check`] and [`linear`] judge a history. None of these does I/O. [`relay`], [`process`] and [`ground`] do.
+#![forbid(unsafe_code)]
 
+pub mod check;
+pub mod ground;
+pub mod history;
+pub mod linear;
+pub mod picture;
+pub mod pipe;
+pub mod process;
+pub mod relay;
+pub mod rows;
+pub mod schedule;
+pub mod shrink;
--- /dev/null
+++ b/crates/proving/src/picture.rs
@@ -0,0 +1,152 @@
+//! A run as a picture: who owned which part when, and what was done to whom meanwhile.
+
+use crate::history::{Happened, History};
+use plotters::prelude::*;
+use puffinladder_owners::fence::Verdict;
+use puffinladder_owners::table::What;
+use puffinladder_owners::words::Event;
+use std::collections::BTreeMap;
+
+const COLOURS: [RGBColor; 10] = [
+    RGBColor(31, 119, 180),
+    RGBColor(255, 127, 14),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(140, 86, 75),
+    RGBColor(227, 119, 194),
+    RGBColor(188, 189, 34),
+    RGBColor(23, 190, 207),
+    RGBColor(96, 125, 139),
+    RGBColor(214, 160, 40),
+];
+/// Height of a line, px.
+const LINE: u32 = 16;
+
+/// A stretch of one line: from, until, and whose.
+type Stretch = (f64, f64, String);
+
+/// Owners by part as the keepers saw it, on the ground's clock.
+fn owners(history: &History, end: f64) -> BTreeMap<String, Vec<Stretch>> {
+    let mut open: BTreeMap<u64, (String, f64, String)> = BTreeMap::new();
+    let mut seen: BTreeMap<(u64, u8), ()> = BTreeMap::new();
+    let mut lines: BTreeMap<String, Vec<Stretch>> = BTreeMap::new();
+    for (entry, event) in history.told() {
+        let Event::Change(change) = event else { continue };
+        if seen.insert((change.epoch, change.what as u8), ()).is_some() {
+            continue;
+        }
+        match change.what {
+            What::Given => {
+                let whose = change.owner.instance.clone();
+                open.insert(change.epoch, (change.duty.to_string(), entry.at, whose));
+            }
+            What::Ended => {
+                if let Some((duty, from, whose)) = open.remove(&change.epoch) {
+                    lines.entry(duty).or_default().push((from, entry.at, whose));
+                }
+            }
+            What::TakenBack => {}
+        }
+    }
+    for (_, (duty, from, whose)) in open {
+        lines.entry(duty).or_default().push((from, end, whose));
+    }
+    lines
+}
+
+/// Faults by process.
+fn faults(history: &History, end: f64) -> BTreeMap<String, Vec<Stretch>> {
+    let mut lines: BTreeMap<String, Vec<Stretch>> = BTreeMap::new();
+    for entry in &history.entries {
+        match &entry.what {
+            Happened::Begun { fault } => {
+                let what = fault.split(' ').next().unwrap_or_default().to_string();
+                if !["rate", "wall"].contains(&what.as_str()) {
+                    lines.entry(entry.who.clone()).or_default().push((entry.at, end, what));
+                }
+            }
+            Happened::Healed { fault } => {
+                let line = lines.entry(entry.who.clone()).or_default();
+                let what = fault.split(' ').next().unwrap_or_default();
+                if let Some(open) = line.iter_mut().find(|(_, until, of)| *until == end && of == what) {
+                    open.1 = entry.at;
+                }
+            }
+            _ => {}
+        }
+    }
+    lines
+}
+
+/// Draws it, as SVG.
+pub fn draw(title: &str, history: &History) -> Result<String, Box<dyn std::error::Error>> {
+    let end = history.entries.last().map_or(1.0, |entry| entry.at).max(0.1);
+    let (owners, faults) = (owners(history, end), faults(history, end));
+    let mut names: Vec<String> = owners.values().flatten().map(|(.., whose)| whose.clone()).collect();
+    names.sort();
+    names.dedup();
+    let colour = |whose: &str| {
+        let place = names.iter().position(|name| name == whose).unwrap_or(0);
+        COLOURS[place % COLOURS.len()]
+    };
+    let rows = owners.len() + faults.len();
+    let height = rows as u32 * LINE + 110;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (1100, height)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let (left, right, top) = (110, 1080, 40);
+        let x = |at: f64| left + ((at / end).clamp(0.0, 1.0) * f64::from(right - left)) as i32;
+        let y = |row: usize| top + (row as u32 * LINE) as i32;
+        let small = ("sans-serif", 11).into_font();
+        area.draw(&Text::new(title.to_string(), (left, 14), ("sans-serif", 15).into_font()))?;
+        let every = [0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0];
+        let every = every.into_iter().find(|step| end / step <= 20.0).unwrap_or(600.0);
+        for tick in 0..=(end / every) as u32 {
+            let at = f64::from(tick) * every;
+            let line = vec![(x(at), top - 4), (x(at), y(rows) + 4)];
+            area.draw(&PathElement::new(line, BLACK.mix(0.12)))?;
+            area.draw(&Text::new(format!("{at} s"), (x(at) - 8, y(rows) + 8), small.clone()))?;
+        }
+        let mut row = 0;
+        for (duty, stretches) in &owners {
+            area.draw(&Text::new(duty.clone(), (8, y(row) + 2), small.clone()))?;
+            for (from, until, whose) in stretches {
+                let bar = [(x(*from), y(row) + 2), (x(*until).max(x(*from) + 1), y(row) + LINE as i32 - 2)];
+                area.draw(&Rectangle::new(bar, colour(whose).filled()))?;
+            }
+            row += 1;
+        }
+        for (who, stretches) in &faults {
+            area.draw(&Text::new(who.clone(), (8, y(row) + 2), small.clone()))?;
+            for (from, until, what) in stretches {
+                let bar = [(x(*from), y(row) + 2), (x(*until).max(x(*from) + 2), y(row) + LINE as i32 - 2)];
+                area.draw(&Rectangle::new(bar, RED.mix(0.3).filled()))?;
+                area.draw(&Text::new(what.clone(), (x(*from) + 2, y(row) + 2), small.clone()))?;
+            }
+            row += 1;
+        }
+        // Effects that came late and were refused.
+        for (entry, event) in history.told() {
+            let Event::Judged { duty, verdict: Verdict::Late { .. }, piece: Some(_), .. } = event else {
+                continue;
+            };
+            if let Some(row) = owners.keys().position(|name| *name == duty.to_string()) {
+                area.draw(&Circle::new((x(entry.at), y(row) + LINE as i32 / 2), 4, BLACK.filled()))?;
+            }
+        }
+        let mut at = left;
+        for name in &names {
+            area.draw(&Rectangle::new([(at, y(rows) + 32), (at + 12, y(rows) + 44)], colour(name).filled()))?;
+            area.draw(&Text::new(name.clone(), (at + 16, y(rows) + 32), small.clone()))?;
+            at += 50;
+            if at > right - 260 {
+                break;
+            }
+        }
+        let legend = "red: a fault; black dot: an effect that came late and was refused";
+        area.draw(&Text::new(legend, (left, y(rows) + 50), small))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- /dev/null
+++ b/crates/proving/src/pipe.rs
@@ -0,0 +1,90 @@
+//! One direction of a link: when bytes that came may go on. Decided without a clock; a relay sleeps as it is told.
+
+use puffinladder_owners::Shuffle;
+
+/// What a direction does to bytes, until it is changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Trouble {
+    /// Nothing passes.
+    pub shut: bool,
+    /// s of delay, drawn anew for each piece up to this.
+    pub delay: f64,
+    /// Bytes a second, 0 is without a bound.
+    pub rate: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Pipe {
+    pub trouble: Trouble,
+    /// When the piece before goes on: none overtakes another.
+    last: f64,
+    chance: Shuffle,
+}
+
+/// When a piece may go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pass {
+    At(f64),
+    /// Not before the link changes.
+    Shut,
+}
+
+impl Pipe {
+    pub fn new(seed: u64) -> Pipe {
+        Pipe { trouble: Trouble::default(), last: 0.0, chance: Shuffle::new(seed) }
+    }
+
+    /// A piece of so many bytes that came now.
+    pub fn pass(&mut self, now: f64, bytes: usize) -> Pass {
+        let Trouble { shut, delay, rate } = self.trouble;
+        if shut {
+            return Pass::Shut;
+        }
+        let late = if delay > 0.0 { delay * self.chance.unit() } else { 0.0 };
+        let slow = if rate > 0.0 { bytes as f64 / rate } else { 0.0 };
+        self.last = (now + late).max(self.last) + slow;
+        Pass::At(self.last)
+    }
+
+    /// How many bytes may go as one piece: few where they trickle, so that a line is cut in many.
+    pub fn piece(&self) -> usize {
+        if self.trouble.rate > 0.0 {
+            ((self.trouble.rate * 0.02) as usize).clamp(1, 16_384)
+        } else {
+            16_384
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn delays_are_drawn_within_their_bound_and_nothing_overtakes() {
+        let mut pipe = Pipe::new(3);
+        assert_eq!(pipe.pass(1.0, 100), Pass::At(1.0));
+        pipe.trouble.delay = 0.5;
+        let mut last = 0.0;
+        for at in 0..100 {
+            let now = 2.0 + f64::from(at) / 100.0;
+            let Pass::At(when) = pipe.pass(now, 1) else { panic!() };
+            assert!(when >= last && when >= now && when <= now.max(last) + 0.5, "{now} {when}");
+            last = when;
+        }
+        assert!(last > 3.0);
+    }
+
+    #[test]
+    fn a_trickle_lets_so_many_bytes_a_second_pass_in_small_pieces_and_shut_is_shut() {
+        let mut pipe = Pipe::new(3);
+        pipe.trouble.rate = 1000.0;
+        assert_eq!(pipe.piece(), 20);
+        let passed: Vec<Pass> = (0..3).map(|_| pipe.pass(5.0, 20)).collect();
+        assert!(matches!(passed[2], Pass::At(at) if (at - 5.06).abs() < 1e-9), "{passed:?}");
+        pipe.trouble.shut = true;
+        assert_eq!(pipe.pass(9.0, 1), Pass::Shut);
+        pipe.trouble = Trouble::default();
+        assert_eq!((pipe.pass(9.0, 1), pipe.piece()), (Pass::At(9.0), 16_384));
+    }
+}
--- /dev/null
+++ b/crates/proving/src/process.rs
@@ -0,0 +1,112 @@
+//! A process of the program: started, stopped, let go on, told to leave, killed, always by its own id. What it tells on standard output comes
+//! into the ground's queue; its log goes to a file.
+
+use puffinladder_owners::words::Event;
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use tokio::sync::mpsc;
+
+/// How the program is called: the binary, and what stands before the kind of process.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub before: Vec<String>,
+}
+
+/// What came of a process: an event, or that it said its last.
+#[derive(Debug)]
+pub struct News {
+    pub who: String,
+    pub life: u32,
+    pub event: Option<Event>,
+}
+
+pub struct Process {
+    child: Child,
+    orders: Option<ChildStdin>,
+    /// SIGSTOPped by us.
+    paused: bool,
+}
+
+impl Process {
+    pub fn start(
+        program: &Program,
+        args: &[String],
+        who: &str,
+        life: u32,
+        log: &Path,
+        news: mpsc::UnboundedSender<News>,
+    ) -> std::io::Result<Process> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut child = Command::new(&program.path)
+            .args(&program.before)
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()?;
+        let (orders, out) = (child.stdin.take(), child.stdout.take());
+        let who = who.to_string();
+        let read = move || {
+            // Lines that are no event are passed over: the program may print what it likes.
+            for line in out.into_iter().flat_map(|out| BufReader::new(out).lines()).map_while(Result::ok) {
+                let Ok(event) = serde_json::from_str(&line) else { continue };
+                if news.send(News { who: who.clone(), life, event: Some(event) }).is_err() {
+                    return;
+                }
+            }
+            let _ = news.send(News { who, life, event: None });
+        };
+        std::thread::Builder::new().name("events".into()).stack_size(256 << 10).spawn(read)?;
+        Ok(Process { child, orders, paused: false })
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn pause(&mut self) {
+        self.signal(Signal::STOP);
+        self.paused = true;
+    }
+    pub fn go_on(&mut self) {
+        if std::mem::take(&mut self.paused) {
+            self.signal(Signal::CONT);
+        }
+    }
+    /// SIGTERM; a paused one hears it once it goes on.
+    pub fn leave(&self) {
+        self.signal(Signal::TERM);
+    }
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Tells it something on standard input: `rate 1.01`, `wall 86400`, `sync 2000`.
+    pub fn order(&mut self, what: &str, value: f64) {
+        if let Some(orders) = &mut self.orders {
+            let _ = writeln!(orders, "{what} {value}").and_then(|()| orders.flush());
+        }
+    }
+
+    /// How it ended, if it did.
+    pub fn ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/proving/src/relay.rs
@@ -0,0 +1,200 @@
+//! A link between two processes: a relay that one dials and that dials the other, and lets bytes pass as its two pipes say.
+
+use crate::pipe::{Pass, Pipe, Trouble};
+use crate::schedule::Way;
+use puffinladder_links::dial;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// The state of a link, which its connections watch.
+struct State {
+    begun: Instant,
+    pipes: [Mutex<Pipe>; 2],
+    /// Rises with every change of the pipes, and with every break of the connections.
+    changed: watch::Sender<(u64, u64)>,
+    target: Mutex<Option<SocketAddr>>,
+}
+
+pub struct Relay {
+    /// Where it is dialled.
+    pub at: SocketAddr,
+    state: Arc<State>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+        // Its connections end with it.
+        self.state.changed.send_modify(|state| state.1 += 1);
+    }
+}
+
+impl Relay {
+    pub async fn open(seed: u64) -> std::io::Result<Relay> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let at = listener.local_addr()?;
+        let pipes = [Mutex::new(Pipe::new(seed)), Mutex::new(Pipe::new(seed ^ 1))];
+        let (changed, _) = watch::channel((0, 0));
+        let state = Arc::new(State { begun: Instant::now(), pipes, changed, target: Mutex::new(None) });
+        let task = tokio::spawn(accept(listener, state.clone()));
+        Ok(Relay { at, state, task })
+    }
+
+    pub fn lead_to(&self, target: Option<SocketAddr>) {
+        *self.state.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
+    /// Changes what the directions meant do to bytes.
+    pub fn trouble(&self, way: Way, change: impl Fn(&mut Trouble)) {
+        for (at, only) in [Way::There, Way::Back].into_iter().enumerate() {
+            if way == Way::Both || way == only {
+                change(&mut lock(&self.state, at).trouble);
+            }
+        }
+        self.state.changed.send_modify(|state| state.0 += 1);
+    }
+
+    /// Breaks all connections; what was on its way is lost.
+    pub fn reset(&self) {
+        self.state.changed.send_modify(|state| state.1 += 1);
+    }
+}
+
+fn lock(state: &State, at: usize) -> std::sync::MutexGuard<'_, Pipe> {
+    state.pipes[at].lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, state: Arc<State>) {
+    loop {
+        match listener.accept().await {
+            Ok((near, _)) => drop(tokio::spawn(connect(near, state.clone()))),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// One connection: it stands at both ends or at neither.
+async fn connect(near: TcpStream, state: Arc<State>) {
+    let mut changed = state.changed.subscribe();
+    let breaks = changed.borrow_and_update().1;
+    // Through a shut link no connection comes about: it is held open here and leads nowhere until the link opens or breaks.
+    while lock(&state, 0).trouble.shut {
+        if changed.changed().await.is_err() || changed.borrow().1 != breaks {
+            return;
+        }
+    }
+    let target = *state.target.lock().unwrap_or_else(PoisonError::into_inner);
+    let Some(target) = target else { return };
+    let Ok(far) = dial(target).await else { return };
+    let _ = near.set_nodelay(true);
+    let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+    // When one direction ends so does the other: half-open connections are made by shutting a pipe, not by chance.
+    tokio::select! {
+        () = pump(near_in, far_out, 0, state.clone(), breaks) => {}
+        () = pump(far_in, near_out, 1, state.clone(), breaks) => {}
+    }
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, at: usize, state: Arc<State>, breaks: u64) {
+    let mut changed = state.changed.subscribe();
+    if changed.borrow_and_update().1 != breaks {
+        return;
+    }
+    let mut bytes = vec![0; 16_384];
+    loop {
+        let most = lock(&state, at).piece();
+        let read = tokio::select! {
+            read = from.read(&mut bytes[..most]) => read,
+            news = changed.changed() => {
+                if news.is_err() || changed.borrow_and_update().1 != breaks {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Ok(count @ 1..) = read else { return };
+        // The piece waits here, and whatever comes behind it in the sockets' buffers.
+        loop {
+            let pass = lock(&state, at).pass(state.begun.elapsed().as_secs_f64(), count);
+            let wait = match pass {
+                Pass::At(when) => (when - state.begun.elapsed().as_secs_f64()).max(0.0),
+                Pass::Shut => f64::MAX,
+            };
+            let slept = async {
+                match wait {
+                    wait if wait > 1e6 => std::future::pending().await,
+                    wait => tokio::time::sleep(Duration::from_secs_f64(wait)).await,
+                }
+            };
+            tokio::select! {
+                () = slept => break,
+                news = changed.changed() => if news.is_err() || changed.borrow_and_update().1 != breaks {
+                    return;
+                },
+            }
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    async fn pair() -> (Relay, TcpStream, TcpStream) {
+        let relay = Relay::open(1).await.unwrap();
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        relay.lead_to(listener.local_addr().ok());
+        let near = TcpStream::connect(relay.at).await.unwrap();
+        let (far, _) = listener.accept().await.unwrap();
+        (relay, near, far)
+    }
+
+    async fn reads(from: &mut TcpStream, count: usize) -> Option<Vec<u8>> {
+        let mut bytes = vec![0; count];
+        let read = from.read_exact(&mut bytes).await;
+        read.is_ok().then_some(bytes)
+    }
+
+    #[tokio::test]
+    async fn a_link_that_is_shut_one_way_holds_that_way_and_lets_all_of_it_go_later() {
+        let (relay, mut near, mut far) = pair().await;
+        near.write_all(b"one").await.unwrap();
+        assert_eq!(reads(&mut far, 3).await.unwrap(), b"one");
+        relay.trouble(Way::There, |trouble| trouble.shut = true);
+        near.write_all(b"two").await.unwrap();
+        far.write_all(b"back").await.unwrap();
+        assert_eq!(reads(&mut near, 4).await.unwrap(), b"back", "the other way is open");
+        let held = tokio::time::timeout(Duration::from_millis(20), reads(&mut far, 3)).await;
+        assert!(held.is_err());
+        relay.trouble(Way::There, |trouble| trouble.shut = false);
+        assert_eq!(reads(&mut far, 3).await.unwrap(), b"two");
+    }
+
+    #[tokio::test]
+    async fn a_break_ends_both_sides_and_a_new_connection_comes_about() {
+        let (relay, mut near, mut far) = pair().await;
+        near.write_all(b"one").await.unwrap();
+        assert!(reads(&mut far, 3).await.is_some());
+        relay.trouble(Way::Both, |trouble| trouble.shut = true);
+        near.write_all(b"lost").await.unwrap();
+        relay.reset();
+        assert!(reads(&mut far, 1).await.is_none() && reads(&mut near, 1).await.is_none());
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        relay.lead_to(listener.local_addr().ok());
+        relay.trouble(Way::Both, |trouble| trouble.shut = false);
+        let mut near = TcpStream::connect(relay.at).await.unwrap();
+        near.write_all(b"new").await.unwrap();
+        let (mut far, _) = listener.accept().await.unwrap();
+        assert_eq!(reads(&mut far, 3).await.unwrap(), b"new");
+    }
+}
--- /dev/null
+++ b/crates/proving/src/rows.rs
@@ -0,0 +1,104 @@
+//! The traces that are gathered on the ground, and whether an export of the archive holds each of their rows once.
+
+use puffinladder_trace::file::{Kind, Meta, Writer};
+use puffinladder_trace::merge::Blocks;
+use puffinladder_trace::row::{Names, Row};
+use puffinladder_trace::synth::{Maker, Record, Synth};
+use puffinladder_trace::Trace;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Write};
+use std::path::Path;
+
+/// What a row is known by, whatever file it stands in.
+type Known = (String, i64, u32, u64, u32);
+
+/// How often each row stands somewhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rows(BTreeMap<Known, u32>);
+
+impl Rows {
+    pub fn len(&self) -> usize {
+        self.0.values().map(|count| *count as usize).sum()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn add(&mut self, names: &Names, row: &Row) {
+        let known = (names.text(row.node).to_string(), row.read, row.name, row.key, row.caller);
+        *self.0.entry(known).or_default() += 1;
+    }
+
+    /// Rows that stand here and not there, and that stand there more often than here.
+    pub fn against(&self, other: &Rows) -> (usize, usize) {
+        let missing =
+            self.0.iter().filter(|(known, count)| other.0.get(*known).copied().unwrap_or(0) < **count);
+        let extra =
+            other.0.iter().filter(|(known, count)| self.0.get(*known).copied().unwrap_or(0) < **count);
+        (missing.count(), extra.count())
+    }
+
+    pub fn read(path: &Path) -> Result<Rows, String> {
+        let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        let file = BufReader::new(File::open(path).map_err(|e| failed(&e))?);
+        let mut trace = Trace::open(file).map_err(|e| failed(&e))?;
+        let (mut names, mut rows, mut all) = (Names::default(), Vec::new(), Rows::default());
+        for entry in trace.entries.clone().iter().filter(|entry| entry.kind == Kind::Rows) {
+            rows.clear();
+            trace.rows(entry, &mut names, &mut rows).map_err(|e| failed(&e))?;
+            rows.iter().for_each(|row| all.add(&names, row));
+        }
+        Ok(all)
+    }
+}
+
+/// Writes a sealed file of one server into its folder, under another name first, so that nobody finds half of it. Each file has times of its own.
+pub fn write(folder: &Path, server: &str, serial: u64, blocks: usize, all: &mut Rows) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let from = 1_767_225_600_000_000 + serial as i64 * 3_600_000_000;
+    let told = Synth {
+        seed: serial,
+        span: blocks as f64 * 2.0,
+        rate: 8.0,
+        node: server.into(),
+        from,
+        rush: 0.0,
+        ..Synth::default()
+    };
+    let mut names = Names::default();
+    let mut maker = Maker::new(&told, &mut names);
+    let half = folder.join(format!("{serial:010}.half"));
+    let mut writer =
+        Writer::new(BufWriter::new(File::create(&half)?), &Meta { node: server.into(), made: from })?;
+    let mut into = Blocks::new(16, &mut writer);
+    while let Some(record) = maker.next(&mut names) {
+        if let Record::Row(row) = record {
+            all.add(&names, &row);
+            into.row(&names, row)?;
+        }
+    }
+    into.rest(&names)?;
+    writer.seal()?.flush()?;
+    std::fs::rename(half, folder.join(format!("{server}-{serial:010}.trace")))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rows_that_are_missing_or_stand_twice_are_counted() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut all, mut one) = (Rows::default(), Rows::default());
+        write(folder.path(), "n1", 1, 2, &mut one).unwrap();
+        write(folder.path(), "n1", 1, 2, &mut all).unwrap();
+        write(folder.path(), "n1", 2, 2, &mut all).unwrap();
+        let file = Rows::read(&folder.path().join("n1-0000000001.trace")).unwrap();
+        assert_eq!((one.against(&file), file.len() > 16), ((0, 0), true));
+        assert!(all.against(&file).0 > 0 && all.against(&file).1 == 0);
+        let mut twice = file.clone();
+        twice.0.values_mut().for_each(|count| *count = 2);
+        assert_eq!(one.against(&twice), (0, file.len()));
+    }
+}
--- /dev/null
+++ b/crates/proving/src/schedule.rs
@@ -0,0 +1,425 @@
+//! What fails, and when: read from S-expressions, drawn from a seed, written down again. Times are s since all processes stood.
+//!
+//! ```text
+//! (schedule (seed 7) (keepers 3) (stewards 4) (servers 6) (parts 8) (span 12s)
+//!   (fault (at 2s) (do pause) (who "s1") (span 3s))
+//!   (fault (at 4s) (do cut) (who "s2") (to "archive") (way there) (span 2s)))
+//! ```
+
+use puffinladder_charter::sexpr::{Block, Fault as Wrong, Reader};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::fmt::{self, Write};
+
+/// A process of the ground.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Who {
+    /// From 1.
+    Keeper(u64),
+    Steward(usize),
+    Archive,
+}
+
+impl fmt::Display for Who {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Who::Keeper(number) => write!(out, "k{number}"),
+            Who::Steward(number) => write!(out, "s{number}"),
+            Who::Archive => out.write_str("archive"),
+        }
+    }
+}
+
+impl Who {
+    pub fn read(text: &str) -> Option<Who> {
+        if text == "archive" {
+            return Some(Who::Archive);
+        }
+        let (kind, number) = text.split_at_checked(1)?;
+        let number = number.parse().ok().filter(|number| (1..=10_000).contains(number))?;
+        match kind {
+            "k" => Some(Who::Keeper(number)),
+            "s" => Some(Who::Steward(number as usize)),
+            _ => None,
+        }
+    }
+}
+
+/// Which of a link's two directions; there is from `who` to `to`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Both,
+    There,
+    Back,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// SIGSTOP, and SIGCONT after the span.
+    Pause,
+    /// SIGKILL, and a new start after the span with the disk as it was.
+    Kill,
+    /// The same, of whichever keeper leads by then.
+    KillLeader,
+    /// SIGTERM, and a new start after the span.
+    Leave,
+    /// A keeper's disk is lost for good; another keeper joins in its place after the span.
+    Lose,
+    /// Nothing passes a link; after the span its connections break.
+    Cut,
+    /// Nothing passes a link, and all of it after the span, however late by then.
+    Hold,
+    /// A link's connections break.
+    Reset,
+    /// Each piece of bytes comes up to `value` s later.
+    Slow,
+    /// No more than `value` bytes a second.
+    Trickle,
+    /// A clock runs `value` times as fast.
+    Rate,
+    /// A wall clock is `value` s off.
+    Wall,
+    /// A keeper's syncs take `value` s.
+    Sync,
+}
+
+const WORDS: [(&str, What); 13] = [
+    ("pause", What::Pause),
+    ("kill", What::Kill),
+    ("kill-leader", What::KillLeader),
+    ("leave", What::Leave),
+    ("lose", What::Lose),
+    ("cut", What::Cut),
+    ("hold", What::Hold),
+    ("reset", What::Reset),
+    ("slow", What::Slow),
+    ("trickle", What::Trickle),
+    ("rate", What::Rate),
+    ("wall", What::Wall),
+    ("sync", What::Sync),
+];
+const WAYS: [(&str, Way); 3] = [("both", Way::Both), ("there", Way::There), ("back", Way::Back)];
+
+impl What {
+    pub fn word(self) -> &'static str {
+        WORDS.iter().find(|(_, what)| *what == self).map_or("", |(word, _)| word)
+    }
+    fn on_link(self) -> bool {
+        matches!(self, What::Cut | What::Hold | What::Reset | What::Slow | What::Trickle)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub at: f64,
+    pub what: What,
+    pub who: Who,
+    /// Of a link: the other end, or every other.
+    pub to: Option<Who>,
+    pub way: Way,
+    pub span: f64,
+    pub value: f64,
+}
+
+impl Fault {
+    pub fn new(at: f64, what: What, who: Who, span: f64) -> Fault {
+        Fault { at, what, who, to: None, way: Way::Both, span, value: 0.0 }
+    }
+    /// Whether a link from one to another is meant, and which of its directions, as seen from its dialling end.
+    pub fn hits(&self, from: Who, to: Who) -> Option<Way> {
+        let other = |end: Who| self.to.is_none_or(|to| to == end);
+        if self.who == from && other(to) {
+            return Some(self.way);
+        }
+        let turned = match self.way {
+            Way::Both => Way::Both,
+            Way::There => Way::Back,
+            Way::Back => Way::There,
+        };
+        (self.who == to && other(from)).then_some(turned)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    pub seed: u64,
+    pub keepers: u64,
+    pub stewards: usize,
+    /// Servers whose traces are gathered, and parts of that duty.
+    pub servers: usize,
+    pub parts: usize,
+    /// s for which there is traffic, and faults begin.
+    pub span: f64,
+    /// The term of grants, s; all other times of the keepers follow from it.
+    pub term: f64,
+    pub faults: Vec<Fault>,
+}
+
+impl Default for Schedule {
+    fn default() -> Schedule {
+        Schedule {
+            seed: 1,
+            keepers: 3,
+            stewards: 3,
+            servers: 6,
+            parts: 6,
+            span: 8.0,
+            term: 0.6,
+            faults: Vec::new(),
+        }
+    }
+}
+
+/// Longest schedule, s, and most faults.
+const LONGEST: f64 = 3600.0;
+const MOST: usize = 10_000;
+
+impl Schedule {
+    pub fn read(file: &str, text: &str) -> Result<Schedule, Vec<Wrong>> {
+        let reader = Reader::new(file, text);
+        let forms = reader.forms();
+        let top = reader.top(&forms);
+        let usual = Schedule::default();
+        let read = top.block("schedule").map(|block| {
+            let mut schedule = Schedule {
+                seed: block.count("seed", usual.seed as usize, 0..=usize::MAX) as u64,
+                keepers: block.count("keepers", usual.keepers as usize, 1..=9) as u64,
+                stewards: block.count("stewards", usual.stewards, 1..=300),
+                servers: block.count("servers", usual.servers, 1..=300),
+                parts: block.count("parts", usual.parts, 1..=10_000),
+                span: block.span("span", usual.span, 0.1..=LONGEST),
+                term: block.span("term", usual.term, 0.2..=60.0),
+                faults: Vec::new(),
+            };
+            let faults = block.blocks("fault");
+            if faults.len() > MOST {
+                block.fault("fault", format!("should stand here {MOST} times at the most"));
+            }
+            schedule.faults = faults.iter().take(MOST).map(|one| fault(one, &schedule)).collect();
+            block.finish();
+            schedule
+        });
+        if read.is_none() {
+            top.fault("schedule", "should be given");
+        }
+        top.finish();
+        match (read, reader.faults()) {
+            (Some(schedule), faults) if faults.is_empty() => Ok(schedule),
+            (_, faults) => Err(faults),
+        }
+    }
+
+    pub fn has(&self, who: Who) -> bool {
+        match who {
+            Who::Keeper(number) => (1..=self.keepers).contains(&number),
+            Who::Steward(number) => (1..=self.stewards).contains(&number),
+            Who::Archive => true,
+        }
+    }
+
+    pub fn all(&self) -> Vec<Who> {
+        let keepers = (1..=self.keepers).map(Who::Keeper);
+        keepers.chain([Who::Archive]).chain((1..=self.stewards).map(Who::Steward)).collect()
+    }
+
+    /// Whether a part of it can be left out without making it another kind of schedule.
+    pub fn with(&self, faults: Vec<Fault>) -> Schedule {
+        Schedule { faults, ..self.clone() }
+    }
+
+    /// One drawn from a seed: the same for the same seed and size.
+    pub fn draw(seed: u64, size: &Schedule) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut drawn = Schedule { seed, faults: Vec::new(), ..size.clone() };
+        let clocks = drawn.all();
+        for who in clocks {
+            if rng.random_bool(0.4) {
+                let value = 1.0 + rng.random_range(-0.01..0.01);
+                drawn.faults.push(Fault { value, ..Fault::new(0.0, What::Rate, who, LONGEST) });
+            }
+        }
+        let count = rng.random_range(4..=10);
+        let mut lost = false;
+        for _ in 0..count {
+            let at = rng.random_range(0.3..drawn.span.max(0.6) * 0.9);
+            // Short ones heal within a term, long ones outlast it several times.
+            let short = rng.random_bool(0.3);
+            let terms = if short { rng.random_range(0.1..0.9) } else { rng.random_range(1.5..5.0) };
+            let span = terms * drawn.term;
+            let keeper = Who::Keeper(rng.random_range(1..=drawn.keepers));
+            let steward = Who::Steward(rng.random_range(1..=drawn.stewards));
+            let way = [Way::Both, Way::There, Way::Back][rng.random_range(0..3)];
+            let ends = [
+                (steward, Who::Archive),
+                (steward, keeper),
+                (keeper, Who::Keeper(rng.random_range(1..=drawn.keepers))),
+            ];
+            let (from, to) = ends[rng.random_range(0..3)];
+            let link = |what| Fault { to: Some(to), way, ..Fault::new(at, what, from, span) };
+            let fault = match rng.random_range(0..17) {
+                // Stewards in the middle of a step are what all of this is about.
+                0..4 => Fault::new(at, What::Pause, steward, span),
+                4 => Fault::new(at, What::Pause, keeper, span),
+                5 => Fault::new(at, What::Pause, Who::Archive, span.min(2.0 * drawn.term)),
+                6 => Fault::new(at, What::Kill, steward, span),
+                7 => Fault::new(at, What::KillLeader, keeper, span),
+                8 => Fault::new(at, What::Kill, Who::Archive, 0.5 * drawn.term),
+                9 => Fault::new(at, What::Leave, steward, span),
+                10 if !lost && drawn.keepers >= 3 => {
+                    lost = true;
+                    Fault::new(at, What::Lose, keeper, drawn.term)
+                }
+                11 => link(What::Cut),
+                // All of what a steward said is on its way for long, and the archive may be another by then.
+                12 | 13 => Fault {
+                    to: Some(Who::Archive),
+                    way: Way::There,
+                    ..Fault::new(at, What::Hold, steward, 2.0 * span)
+                },
+                14 => Fault { value: rng.random_range(0.02..0.3), ..link(What::Slow) },
+                15 => Fault { value: rng.random_range(2e3..5e4), ..link(What::Trickle) },
+                16 => {
+                    let off = rng.random_range(-86_400.0..86_400.0);
+                    Fault { value: off, ..Fault::new(at, What::Wall, steward, LONGEST) }
+                }
+                _ => Fault { value: rng.random_range(0.1..2.0), ..Fault::new(at, What::Sync, keeper, span) },
+            };
+            drawn.faults.push(fault);
+        }
+        drawn.faults.sort_by(|a, b| a.at.total_cmp(&b.at));
+        drawn
+    }
+}
+
+fn fault(block: &Block, schedule: &Schedule) -> Fault {
+    let who = |key: &'static str| {
+        let text = block.text(key)?;
+        let found = Who::read(&text).filter(|who| schedule.has(*who));
+        if found.is_none() {
+            block.fault(
+                key,
+                format!(
+                    "{text:?}: should be a process of this schedule, such as \"k1\", \"s1\" or \"archive\""
+                ),
+            );
+        }
+        found
+    };
+    let what = block.word("do", What::Pause, &WORDS);
+    for key in ["at", "do", "who"] {
+        if !block.has(key) {
+            block.fault(key, "should be given");
+        }
+    }
+    let usual = match what {
+        What::Slow => 0.1,
+        What::Trickle => 10_000.0,
+        What::Rate => 1.0,
+        What::Sync => 1.0,
+        _ => 0.0,
+    };
+    let read = Fault {
+        at: block.span("at", 0.0, 0.0..=LONGEST),
+        what,
+        who: who("who").unwrap_or(Who::Archive),
+        to: who("to"),
+        way: block.word("way", Way::Both, &WAYS),
+        span: block.span("span", 1.0, 0.0..=LONGEST),
+        value: block.number("value", usual, -1e6..=1e9),
+    };
+    if read.to.is_some() && !what.on_link() {
+        block.fault("to", "is for links alone: cut, hold, reset, slow, trickle");
+    }
+    let keeper = matches!(read.who, Who::Keeper(_));
+    if matches!(what, What::Lose | What::Sync) && !keeper {
+        block.fault("who", "should be a keeper");
+    }
+    if what == What::Rate && !(0.1..=10.0).contains(&read.value) {
+        block.fault("value", "should be a rate from 0.1 to 10");
+    }
+    block.finish();
+    read
+}
+
+impl fmt::Display for Schedule {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        let (keepers, stewards) = (self.keepers, self.stewards);
+        write!(out, "(schedule (seed {}) (keepers {keepers}) (stewards {stewards})", self.seed)?;
+        write!(
+            out,
+            " (servers {}) (parts {}) (span {}s) (term {}s)",
+            self.servers, self.parts, self.span, self.term
+        )?;
+        for fault in &self.faults {
+            let mut more = String::new();
+            if let Some(to) = fault.to {
+                let _ = write!(more, " (to \"{to}\")");
+            }
+            if fault.way != Way::Both {
+                let way = WAYS.iter().find(|(_, way)| *way == fault.way).map_or("", |(word, _)| word);
+                let _ = write!(more, " (way {way})");
+            }
+            if fault.value != 0.0 {
+                let _ = write!(more, " (value {})", fault.value);
+            }
+            let (at, what, who, span) = (fault.at, fault.what.word(), fault.who, fault.span);
+            write!(out, "\n  (fault (at {at}s) (do {what}) (who \"{who}\"){more} (span {span}s))")?;
+        }
+        out.write_str(")\n")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn drawn_schedules_are_the_same_for_a_seed_and_read_back_as_they_are_written() {
+        let mut kinds = std::collections::BTreeSet::new();
+        for seed in 0..300 {
+            let drawn = Schedule::draw(seed, &Schedule { keepers: 5, stewards: 12, ..Schedule::default() });
+            assert_eq!(
+                drawn,
+                Schedule::draw(seed, &Schedule { keepers: 5, stewards: 12, ..Schedule::default() })
+            );
+            assert_eq!(Schedule::read("drawn", &drawn.to_string()).unwrap(), drawn, "{drawn}");
+            kinds.extend(drawn.faults.iter().map(|fault| fault.what.word()));
+        }
+        assert!(kinds.len() >= 12, "{kinds:?}");
+    }
+
+    #[test]
+    fn what_a_schedule_cannot_mean_is_named_with_its_place() {
+        let text = "(schedule (keepers 3)\n (fault (at 1s) (do pause) (who \"k9\"))\n (fault (do melt) (who \"s1\"))\n (fault (at 1s) (do sync) (who \"s1\") (to \"k1\")))";
+        let said: Vec<String> = Schedule::read("f", text).unwrap_err().iter().map(Wrong::to_string).collect();
+        for wanted in [
+            "f:2:27: schedule.fault.who: \"k9\"",
+            "schedule.fault.at: should be given",
+            "schedule.fault.do: should be one of pause",
+            "schedule.fault.to: is for links alone",
+            "schedule.fault.who: should be a keeper",
+        ] {
+            assert!(said.iter().any(|line| line.contains(wanted)), "{wanted}: {said:#?}");
+        }
+        assert!(Schedule::read("f", "").unwrap_err()[0].to_string().contains("schedule: should be given"));
+    }
+
+    #[test]
+    fn a_fault_of_a_link_is_turned_for_whoever_dialled() {
+        let fault = Fault {
+            to: Some(Who::Archive),
+            way: Way::There,
+            ..Fault::new(0.0, What::Cut, Who::Steward(1), 1.0)
+        };
+        assert_eq!(fault.hits(Who::Steward(1), Who::Archive), Some(Way::There));
+        assert_eq!(fault.hits(Who::Steward(2), Who::Archive), None);
+        let turned = Fault {
+            to: Some(Who::Steward(1)),
+            way: Way::There,
+            ..Fault::new(0.0, What::Cut, Who::Archive, 1.0)
+        };
+        assert_eq!(turned.hits(Who::Steward(1), Who::Archive), Some(Way::Back));
+        let all = Fault::new(0.0, What::Cut, Who::Keeper(1), 1.0);
+        assert_eq!(all.hits(Who::Steward(4), Who::Keeper(1)), Some(Way::Both));
+    }
+}
