--- a/crates/cli/src/prove.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -1,5 +1,7 @@
 //! `puffinladder prove`: the proving ground, and the processes that it starts.
 
+mod bench;
+
 use crate::fleet::{archive, keeper, steward, Ground};
 use crate::say::{bar, Done, Wrong};
 use crate::serve;
@@ -80,6 +82,24 @@
         #[command(flatten)]
         size: Size,
     },
+    /// Measure: how long the fleet goes without an owner, and what keepers and instances cost
+    #[command(
+        after_help = "Example:\n  puffinladder prove bench --rounds 10\n\nIt takes some minutes; nothing should run beside it."
+    )]
+    Bench {
+        /// Runs of each kind, three owners hit in each
+        #[arg(long, default_value_t = 10)]
+        rounds: u64,
+        /// Instances that ask the keepers, for the cost
+        #[arg(long, value_delimiter = ',', default_value = "30,100,300")]
+        instances: Vec<usize>,
+        /// Parts that they own together
+        #[arg(long, default_value_t = 10_000)]
+        parts: usize,
+        /// s for which the cost is measured
+        #[arg(long, default_value_t = 10.0)]
+        span: f64,
+    },
     /// One process of the ground; its clock and its disk are at the ground's mercy, which tells it on standard input
     #[command(hide = true)]
     Part {
@@ -124,6 +144,10 @@
             };
             random(seed, count, jobs.max(1), failed, shrink, plant, &size)
         }
+        (Some(Command::Bench { rounds, instances, parts, span }), _) => {
+            let setup = ground(std::env::temp_dir(), false, false)?;
+            bench::bench(&setup, rounds, &instances, parts, span)
+        }
         (Some(Command::Part { kind, settings, found, join, rate, wall, forgets_epochs }), _) => {
             let clock = Clock::skewed(rate, wall);
             let ground =
--- a/crates/proving/src/ground.rs
+++ b/crates/proving/src/ground.rs
@@ -32,8 +32,7 @@
 const SLACK: f64 = 5.0;
 /// s between the ground's looks.
 const LOOK: f64 = 0.01;
-/// A server's next file comes after so many s; blocks of a file.
-const FILES: f64 = 0.02;
+/// Blocks of a server's file.
 const BLOCKS: usize = 3;
 /// Operators that pause, resume and look, and what they may ask in all.
 const OPERATORS: u64 = 3;
@@ -218,8 +217,10 @@
             };
             self.part(who, &text, matches!(who, Who::Keeper(_)).then_some("--found"))?;
         }
-        for server in 0..self.schedule.servers {
-            self.file(server)?;
+        for _ in 0..self.schedule.backlog {
+            for server in 0..self.schedule.servers {
+                self.file(server)?;
+            }
         }
         Ok(())
     }
@@ -434,8 +435,8 @@
             for (_, at) in due {
                 self.finish(at).await?;
             }
-            while self.filed + FILES <= now && self.filed < self.schedule.span {
-                self.filed += FILES;
+            while self.filed + self.schedule.files <= now && self.filed < self.schedule.span {
+                self.filed += self.schedule.files;
                 self.file((self.files % self.schedule.servers as u64) as usize)?;
             }
             // Those that last for ever are over with the traffic.
@@ -623,7 +624,7 @@
             Err(what) => run.failures.push(format!("{:.1} s after the last fault {what}", self.now() - from)),
         }
         let from = self.now();
-        match self.gathered(from + HEAL).await {
+        match self.gathered().await {
             Ok(()) => run.gathered = self.now() - from,
             Err(what) => run.failures.push(format!("{:.1} s after that {what}", self.now() - from)),
         }
@@ -685,20 +686,26 @@
         }
     }
 
-    async fn gathered(&mut self, until: f64) -> Result<(), String> {
+    /// Until all files are gathered: it may take long where there are many, but not stand still.
+    async fn gathered(&mut self) -> Result<(), String> {
         let at = self.parts[&Who::Archive].listen;
+        let (mut last, mut moved) = (0, self.now());
         loop {
             let status: Option<archive::Answer> = ask(at, &archive::Ask::Status).await;
-            let done = match status {
-                Some(archive::Answer::Status { done, .. }) => done as u64,
-                _ => 0,
-            };
-            self.listen();
-            if done == self.files {
-                return Ok(());
+            if let Some(archive::Answer::Status { done, blocks, .. }) = status {
+                if blocks != last {
+                    (last, moved) = (blocks, self.now());
+                }
+                if done as u64 == self.files {
+                    return Ok(());
+                }
             }
-            if self.now() > until {
-                return Err(format!("{done} of {} files are gathered", self.files));
+            self.listen();
+            if self.now() > moved + HEAL {
+                return Err(format!(
+                    "{last} blocks are gathered, not all of {} files, and none more for {HEAL} s",
+                    self.files
+                ));
             }
             tokio::time::sleep(Duration::from_secs_f64(2.0 * LOOK)).await;
         }
--- a/crates/proving/src/lib.rs
+++ b/crates/proving/src/lib.rs
@@ -2,13 +2,14 @@
 //! and makes both fail as a schedule says. All that happened goes into one history, which checkers read afterwards.
 //!
 //! [`schedule`] says what fails when, drawn from a seed or written by hand; [`shrink`] cuts a failing one down; [`pipe`] decides when bytes may pass a
-//! link; [`check`] and [`linear`] judge a history. None of these does I/O. [`relay`], [`process`] and [`ground`] do.
+//! link; [`check`] and [`linear`] judge a history, [`measure`] reads times off it. None of these does I/O. [`relay`], [`process`] and [`ground`] do.
 #![forbid(unsafe_code)]
 
 pub mod check;
 pub mod ground;
 pub mod history;
 pub mod linear;
+pub mod measure;
 pub mod picture;
 pub mod pipe;
 pub mod process;
--- a/crates/proving/src/relay.rs
+++ b/crates/proving/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::schedule::Way;
 use puffinladder_links::dial;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -95,21 +96,36 @@
     let Ok(far) = dial(target).await else { return };
     let _ = near.set_nodelay(true);
     let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
-    // When one direction ends so does the other: half-open connections are made by shutting a pipe, not by chance.
+    // When one direction ends so does the other, but for bytes that are held on their way there: they arrive, if need be at the next life of whoever
+    // is dialled.
+    let far_gone = AtomicBool::new(false);
+    let there = pump(near_in, far_out, 0, &state, breaks, &far_gone);
+    tokio::pin!(there);
     tokio::select! {
-        () = pump(near_in, far_out, 0, state.clone(), breaks) => {}
-        () = pump(far_in, near_out, 1, state.clone(), breaks) => {}
+        () = &mut there => return,
+        () = pump(far_in, near_out, 1, &state, breaks, &far_gone) => {}
+    }
+    if lock(&state, 0).trouble.shut {
+        far_gone.store(true, Ordering::Relaxed);
+        there.await;
     }
 }
 
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, at: usize, state: Arc<State>, breaks: u64) {
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    at: usize,
+    state: &State,
+    breaks: u64,
+    far_gone: &AtomicBool,
+) {
     let mut changed = state.changed.subscribe();
     if changed.borrow_and_update().1 != breaks {
         return;
     }
     let mut bytes = vec![0; 16_384];
     loop {
-        let most = lock(&state, at).piece();
+        let most = lock(state, at).piece();
         let read = tokio::select! {
             read = from.read(&mut bytes[..most]) => read,
             news = changed.changed() => {
@@ -122,7 +138,7 @@
         let Ok(count @ 1..) = read else { return };
         // The piece waits here, and whatever comes behind it in the sockets' buffers.
         loop {
-            let pass = lock(&state, at).pass(state.begun.elapsed().as_secs_f64(), count);
+            let pass = lock(state, at).pass(state.begun.elapsed().as_secs_f64(), count);
             let wait = match pass {
                 Pass::At(when) => (when - state.begun.elapsed().as_secs_f64()).max(0.0),
                 Pass::Shut => f64::MAX,
@@ -140,12 +156,25 @@
                 },
             }
         }
+        if far_gone.load(Ordering::Relaxed) {
+            return deliver(state, &bytes[..count]).await;
+        }
         if to.write_all(&bytes[..count]).await.is_err() {
             return;
         }
     }
 }
 
+/// Brings bytes that outlived both ends of their connection to whoever is dialled by now, and waits until it has said something to them.
+async fn deliver(state: &State, bytes: &[u8]) {
+    let target = *state.target.lock().unwrap_or_else(PoisonError::into_inner);
+    let Some(target) = target else { return };
+    let Ok(mut far) = dial(target).await else { return };
+    if far.write_all(bytes).await.is_ok() {
+        let _ = tokio::time::timeout(Duration::from_secs(1), far.read(&mut [0; 64])).await;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -180,6 +209,23 @@
         assert_eq!(reads(&mut far, 3).await.unwrap(), b"two");
     }
 
+    #[tokio::test]
+    async fn bytes_that_are_held_outlive_both_ends_and_reach_the_next_life() {
+        let (relay, mut near, far) = pair().await;
+        relay.trouble(Way::There, |trouble| trouble.shut = true);
+        near.write_all(b"late").await.unwrap();
+        // The relay has read it once the far end's end has come back.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(far);
+        assert_eq!(near.read(&mut [0; 8]).await.unwrap(), 0);
+        drop(near);
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        relay.lead_to(listener.local_addr().ok());
+        relay.trouble(Way::There, |trouble| trouble.shut = false);
+        let (mut next, _) = listener.accept().await.unwrap();
+        assert_eq!(reads(&mut next, 4).await.unwrap(), b"late");
+    }
+
     #[tokio::test]
     async fn a_break_ends_both_sides_and_a_new_connection_comes_about() {
         let (relay, mut near, mut far) = pair().await;
--- a/crates/proving/src/schedule.rs
+++ b/crates/proving/src/schedule.rs
@@ -151,6 +151,9 @@
     /// Servers whose traces are gathered, and parts of that duty.
     pub servers: usize,
     pub parts: usize,
+    /// Files that each server has written before anything begins, and s from one file to the next, over all of them.
+    pub backlog: usize,
+    pub files: f64,
     /// s for which there is traffic, and faults begin.
     pub span: f64,
     /// The term of grants, s; all other times of the keepers follow from it.
@@ -166,6 +169,8 @@
             stewards: 3,
             servers: 6,
             parts: 6,
+            backlog: 1,
+            files: 0.02,
             span: 8.0,
             term: 0.6,
             faults: Vec::new(),
@@ -190,6 +195,8 @@
                 stewards: block.count("stewards", usual.stewards, 1..=300),
                 servers: block.count("servers", usual.servers, 1..=300),
                 parts: block.count("parts", usual.parts, 1..=10_000),
+                backlog: block.count("backlog", usual.backlog, 0..=10_000),
+                files: block.span("files", usual.files, 0.001..=60.0),
                 span: block.span("span", usual.span, 0.1..=LONGEST),
                 term: block.span("term", usual.term, 0.2..=60.0),
                 faults: Vec::new(),
@@ -356,6 +363,7 @@
             " (servers {}) (parts {}) (span {}s) (term {}s)",
             self.servers, self.parts, self.span, self.term
         )?;
+        write!(out, " (backlog {}) (files {}s)", self.backlog, self.files)?;
         for fault in &self.faults {
             let mut more = String::new();
             if let Some(to) = fault.to {
