A steward that hands over ends its step after the piece under way

Checked: the step under way goes on to its own end, up to half a second, before its part can be handed over. Change: a step looks at a flag before each piece.

--- a/crates/steward/src/haul.rs
+++ b/crates/steward/src/haul.rs
@@ -12,6 +12,7 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
@@ -69,12 +70,12 @@
         self.told.every
     }
 
-    /// Works until `until` by this clock, or until there is nothing to do.
-    pub async fn step(&mut self, clock: &Clock, until: f64) -> Came {
+    /// Works until `until` by this clock, until there is nothing to do, or until told to halt: then the piece under way is the last.
+    pub async fn step(&mut self, clock: &Clock, until: f64, halt: &AtomicBool) -> Came {
         let mut came = Came { work: true, ..Came::default() };
         let until = until.min(clock.now() + self.told.step);
         let left = |now: f64| clock.sleep((until - now).max(0.0));
-        match tokio::time::timeout(left(clock.now()), self.pieces(clock, until, &mut came)).await {
+        match tokio::time::timeout(left(clock.now()), self.pieces(clock, until, halt, &mut came)).await {
             Ok(Ok(())) => {
                 if std::mem::take(&mut self.troubled) {
                     tracing::info!("{}: goes on", self.duty);
@@ -97,8 +98,14 @@
         }
     }
 
-    async fn pieces(&mut self, clock: &Clock, until: f64, came: &mut Came) -> Result<(), String> {
-        loop {
+    async fn pieces(
+        &mut self,
+        clock: &Clock,
+        until: f64,
+        halt: &AtomicBool,
+        came: &mut Came,
+    ) -> Result<(), String> {
+        while !halt.load(Ordering::Relaxed) {
             if self.line.is_none() && !self.begin(came).await? {
                 return Ok(());
             }
@@ -143,6 +150,7 @@
                 return Ok(());
             }
         }
+        Ok(())
     }
 
     /// Shows the epoch and learns where to go on. Whether it may.
--- a/crates/steward/src/serve.rs
+++ b/crates/steward/src/serve.rs
@@ -11,6 +11,8 @@
 use puffinladder_owners::{Duty, Epoch, Owner};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -56,6 +58,8 @@
     epoch: Epoch,
     /// Away while a step is under way.
     haul: Option<Haul>,
+    /// Set when the step under way is to end early: the duty is to be handed over.
+    halt: Arc<AtomicBool>,
     /// Not before then, where there was nothing to do.
     due: f64,
 }
@@ -266,10 +270,13 @@
                     let told = self.setup.gather.clone().filter(|_| duty.name == "gather");
                     if let Some(told) = told {
                         let haul = Some(Haul::new(told, duty.clone(), epoch));
-                        self.works.insert(duty, Work { epoch, haul, due: now });
+                        self.works.insert(duty, Work { epoch, haul, halt: Arc::default(), due: now });
                     }
                 }
                 Act::Yield(duty, epoch) => {
+                    if let Some(work) = self.works.get(&duty) {
+                        work.halt.store(true, Ordering::Relaxed);
+                    }
                     let idle = self.works.get(&duty).is_none_or(|work| work.haul.is_some());
                     let down = if idle { self.holder.ended(&duty, epoch) } else { None };
                     self.carry(now, down.into_iter().collect());
@@ -297,9 +304,9 @@
             let Some((epoch, until)) = self.holder.may(now, duty) else { continue };
             let Some(mut haul) = work.haul.take() else { continue };
             let (clock, steps, duty) = (self.setup.clock.clone(), self.steps.clone(), duty.clone());
-            let until = now + STEP * (until - now);
+            let (until, halt) = (now + STEP * (until - now), work.halt.clone());
             tokio::spawn(async move {
-                let came = haul.step(&clock, until).await;
+                let came = haul.step(&clock, until, &halt).await;
                 let _ = steps.send(Stepped { duty, epoch, haul, came }).await;
             });
         }
