Parts of quotas and turns to leave over sockets: stewards answer servers' reports

Need: the two other duties had their cores and nobody who used them. On the proving ground stand-in servers hold a Seat; checkers add up what they went by on the machine's own clock, and count who is away by a turn. Serving processes don't use it yet.

--- a/crates/charter/src/fleet.rs
+++ b/crates/charter/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Settings of the processes that own work for the fleet and of those that say who owns it. A server reads none of them.
 
-use crate::settings::{needed, quoted};
+use crate::settings::{address, needed, quoted};
 use crate::sexpr::Block;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -49,6 +49,33 @@
     /// Duties that it holds and does nothing for: who owns them is asked of the keepers.
     pub holds: Vec<String>,
     pub gather: Option<Gather>,
+    /// Where servers report to it; needed for the two duties that follow.
+    pub listen: Option<SocketAddr>,
+    pub quota: Option<Quota>,
+    pub turns: Option<Turns>,
+}
+
+/// The duty to part customers' quotas.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Quota {
+    /// As the keepers declare it.
+    pub parts: usize,
+    /// Servers that the equal share is reckoned for.
+    pub servers: usize,
+    /// s that a part of a quota holds.
+    pub span: f64,
+    /// Each customer's quota over the whole fleet, txns a second.
+    pub customers: BTreeMap<String, f64>,
+}
+
+/// The duty to give turns to leave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Turns {
+    pub most: usize,
+    pub zone_share: f64,
+    /// s
+    pub span: f64,
+    pub silent: f64,
 }
 
 /// The duty to gather sealed traces.
@@ -157,6 +184,43 @@
         gather.finish();
         told
     });
+    let quota = block.block("quota").map(|quota| {
+        let mut customers = BTreeMap::new();
+        for one in quota.blocks("customer") {
+            let (name, rate) = (wanted(&one, "name"), one.number("rate", 0.0, 0.001..=1e9));
+            if !one.has("rate") {
+                one.fault("rate", "should be given");
+            }
+            if customers.insert(name.clone(), rate).is_some() {
+                one.fault("name", format!("{name:?} stands here twice"));
+            }
+            one.finish();
+        }
+        let told = Quota {
+            parts: quota.count("parts", 1, 1..=10_000),
+            servers: quota.count("servers", 1, 1..=10_000),
+            span: quota.span("span", 2.0, 0.1..=600.0),
+            customers,
+        };
+        if !quota.has("servers") {
+            quota.fault("servers", "should be given");
+        }
+        quota.finish();
+        told
+    });
+    let turns = block.block("turns").map(|turns| {
+        let told = Turns {
+            most: turns.count("most", 10, 1..=10_000),
+            zone_share: turns.number("zone-share", 0.1, 0.0..=1.0),
+            span: turns.span("span", 30.0, 0.1..=3600.0),
+            silent: turns.span("silent", 5.0, 0.1..=600.0),
+        };
+        turns.finish();
+        told
+    });
+    if (quota.is_some() || turns.is_some()) && !block.has("listen") {
+        block.fault("listen", "should be given: servers report there");
+    }
     let told = Steward {
         name: wanted(block, "name"),
         zone: block.text("zone").unwrap_or_else(|| "default".into()),
@@ -164,6 +228,9 @@
         holds: block.texts("holds"),
         keepers: numbered(block, "keepers"),
         gather,
+        listen: address(block, "listen"),
+        quota,
+        turns,
     };
     block.finish();
     told
@@ -225,6 +292,24 @@
             let _ = write!(out, "\n  (gather (traces {traces}) (archive \"{archive}\") (parts {})", g.parts);
             let _ = write!(out, " (every {}s) (step {}s))", g.every, g.step);
         }
+        if let Some(listen) = self.listen {
+            let _ = write!(out, "\n  (listen \"{listen}\")");
+        }
+        if let Some(q) = &self.quota {
+            let _ = write!(out, "\n  (quota (parts {}) (servers {}) (span {}s)", q.parts, q.servers, q.span);
+            for (name, rate) in &q.customers {
+                let _ = write!(out, "\n    (customer (name {}) (rate {rate}))", quoted(name));
+            }
+            out.push(')');
+        }
+        if let Some(t) = &self.turns {
+            let (most, share) = (t.most, t.zone_share);
+            let _ = write!(
+                out,
+                "\n  (turns (most {most}) (zone-share {share}) (span {}s) (silent {}s))",
+                t.span, t.silent
+            );
+        }
         out.push_str(")\n");
     }
 }
@@ -245,7 +330,9 @@
     fn keepers_stewards_and_archives_read_as_they_are_shown() {
         let text = "(keeper (number 1) (listen \"127.0.0.1:0\") (folder \"k\") (peers \"1=127.0.0.1:1\" \"2=127.0.0.2:1\")
               (duty (name \"gather\") (parts 16) (zone \"a\")) (duty (name \"turns\")) (term 1s))
-            (steward (name \"s1\") (folder \"s\") (holds \"x\" \"y\") (keepers \"1=127.0.0.1:1\") (gather (traces \"/t\") (archive \"127.0.0.9:1\") (parts 16)))
+            (steward (name \"s1\") (folder \"s\") (holds \"x\" \"y\") (keepers \"1=127.0.0.1:1\") (gather (traces \"/t\") (archive \"127.0.0.9:1\") (parts 16))
+              (listen \"127.0.0.1:5\") (quota (parts 2) (servers 9) (customer (name \"a\") (rate 50)) (customer (name \"b\") (rate 7.5)))
+              (turns (most 3) (zone-share 0.25)))
             (archive (listen \"127.0.0.9:1\") (folder \"a\") (most-bytes 1GB))";
         let settings = read_settings("x", text).unwrap();
         let keeper = settings.keeper.as_ref().unwrap();
@@ -257,7 +344,7 @@
     fn what_is_missing_or_stands_twice_is_named_with_its_key() {
         let wrong =
             "(keeper (listen \"127.0.0.1:0\") (peers \"one\" \"2=127.0.0.2:1\" \"2=127.0.0.3:1\") (stall 1s)
-            (duty (name \"a\")) (duty (name \"a\"))) (steward (gather (parts 0)))";
+            (duty (name \"a\")) (duty (name \"a\"))) (steward (gather (parts 0)) (quota (customer (name \"a\"))))";
         let said: Vec<String> =
             read_settings("f", wrong).unwrap_err().iter().map(|f| f.key.clone()).collect();
         for key in [
@@ -272,7 +359,14 @@
         ] {
             assert!(said.iter().any(|one| one == key), "{key}: {said:?}");
         }
-        for key in ["steward.gather.traces", "steward.gather.archive", "steward.gather.parts"] {
+        for key in [
+            "steward.gather.traces",
+            "steward.gather.archive",
+            "steward.gather.parts",
+            "steward.listen",
+            "steward.quota.servers",
+            "steward.quota.customer.rate",
+        ] {
             assert!(said.iter().any(|one| one == key), "{key}: {said:?}");
         }
     }
--- a/crates/cli/src/fleet/steward.rs
+++ b/crates/cli/src/fleet/steward.rs
@@ -5,11 +5,15 @@
 use crate::serve;
 use clap::Args;
 use puffinladder_charter::fleet::Steward as Told;
+use puffinladder_owners::desk;
 use puffinladder_steward::haul;
 use puffinladder_steward::life;
-use puffinladder_steward::serve::{start, Setup};
+use puffinladder_steward::serve::{start, Reported, Setup};
 use std::path::{Path, PathBuf};
 
+/// Servers that may report to one steward at once.
+const MOST: usize = 10_000;
+
 #[derive(Args)]
 #[command(
     after_help = "A steward asks the keepers for the duties that it can do and does those that it is granted, for as long as it is.\n\
@@ -40,19 +44,44 @@
         every: gather.every,
         step: gather.step,
     });
+    let drift = 0.02;
+    let desk = told.listen.map(|listen| Reported {
+        listen,
+        told: desk::Told {
+            customers: told.quota.as_ref().map(|quota| quota.customers.clone()).unwrap_or_default(),
+            servers: told.quota.as_ref().map_or(1, |quota| quota.servers),
+            parts: told.quota.as_ref().map_or(1, |quota| quota.parts as u32),
+            span: told.quota.as_ref().map_or(2.0, |quota| quota.span),
+            drift,
+            turns: told.turns.as_ref().map_or_else(Default::default, |turns| {
+                puffinladder_owners::turns::Rules {
+                    most: turns.most,
+                    zone_share: turns.zone_share,
+                    span: turns.span,
+                    silent: turns.silent,
+                    drift,
+                }
+            }),
+        },
+        quota: told.quota.is_some(),
+        turns: told.turns.is_some(),
+        most_connections: MOST,
+    });
     let setup = Setup {
         name: told.name.clone(),
         zone: told.zone.clone(),
         incarnation,
         keepers: told.keepers.clone(),
         gather,
+        desk,
         holds: told.holds.clone(),
         clock: ground.clock.clone(),
         events: ground.events,
     };
     tracing::info!("steward {}, life {incarnation}", told.name);
-    let mut running = start(setup);
-    ground.events.tell(&puffinladder_owners::words::Event::Ready { listen: String::new() });
+    let mut running = start(setup).await.map_err(failed)?;
+    let listen = running.listen.map_or(String::new(), |at| at.to_string());
+    ground.events.tell(&puffinladder_owners::words::Event::Ready { listen });
     match serve::until_told(running.ended()).await? {
         Some(()) => Err(failed(format!("steward {}: a later life of it has spoken", told.name))),
         None => {
--- a/crates/cli/src/prove/bench.rs
+++ b/crates/cli/src/prove/bench.rs
@@ -143,16 +143,18 @@
     let begun = Instant::now();
     let mut stewards = Vec::new();
     for one in 0..count {
-        stewards.push(steward::start(steward::Setup {
+        let setup = steward::Setup {
             name: format!("n{one}"),
             zone: format!("z{}", one % 3),
             incarnation: 1,
             keepers: all.clone(),
             gather: None,
+            desk: None,
             holds: vec!["load".into()],
             clock: Clock::system(),
             events: Events(false),
-        }));
+        };
+        stewards.push(steward::start(setup).await.map_err(Wrong::Failed)?);
     }
     let keepers_at: Vec<SocketAddr> = all.values().copied().collect();
     let even = loop {
--- a/crates/cli/src/prove/mod.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -1,6 +1,7 @@
 //! `puffinladder prove`: the proving ground, and the processes that it starts.
 
 mod bench;
+mod seat;
 
 use crate::fleet::{archive, keeper, steward, Ground};
 use crate::say::{bar, Done, Wrong};
@@ -43,6 +44,9 @@
     keepers: u64,
     #[arg(long, default_value_t = 4)]
     stewards: usize,
+    /// Stand-in servers that share a quota and leave by turns
+    #[arg(long, default_value_t = 0)]
+    seats: usize,
     /// Servers whose traces are gathered
     #[arg(long, default_value_t = 8)]
     servers: usize,
@@ -118,6 +122,8 @@
         /// A bug that the checkers must find
         #[arg(long)]
         forgets_epochs: bool,
+        #[command(flatten)]
+        seat: seat::Told,
     },
 }
 
@@ -126,6 +132,7 @@
     Keeper,
     Steward,
     Archive,
+    Seat,
 }
 
 pub fn run(line: Line) -> Done {
@@ -136,6 +143,7 @@
             let size = Schedule {
                 keepers: size.keepers,
                 stewards: size.stewards,
+                seats: size.seats,
                 servers: size.servers,
                 parts: size.parts,
                 span: size.span,
@@ -148,11 +156,11 @@
             let setup = ground(std::env::temp_dir(), false, false)?;
             bench::bench(&setup, rounds, &instances, parts, span)
         }
-        (Some(Command::Part { kind, settings, found, join, rate, wall, forgets_epochs }), _) => {
+        (Some(Command::Part { kind, settings, found, join, rate, wall, forgets_epochs, seat }), _) => {
             let clock = Clock::skewed(rate, wall);
             let ground =
                 Ground { clock, events: Events(true), sync_pause: Default::default(), forgets_epochs };
-            part(kind, settings, found, join, &ground)
+            part(kind, settings, found, join, &seat, &ground)
         }
     }
 }
@@ -183,8 +191,9 @@
 
 fn sum(counts: &Counts, rows: usize) -> String {
     format!(
-        "{rows} rows gathered once each, {} effects, {} grants, {} leaders, {} repeats, {} late effects refused, 0 accepted",
-        counts.effects, counts.grants, counts.leaders, counts.repeats, counts.late
+        "{rows} rows gathered once each, {} effects, {} grants, {} leaders, {} repeats, {} late effects refused; \
+         {} parts of a quota held, {} servers left by a turn",
+        counts.effects, counts.grants, counts.leaders, counts.repeats, counts.late, counts.parts, counts.turns
     )
 }
 
@@ -271,7 +280,7 @@
     Err(Wrong::Failed(format!("schedules {bad:?} failed")))
 }
 
-fn part(kind: Kind, settings: PathBuf, found: bool, join: bool, ground: &Ground) -> Done {
+fn part(kind: Kind, settings: PathBuf, found: bool, join: bool, seat: &seat::Told, ground: &Ground) -> Done {
     let (name, settings) = serve::settings(Some(settings))?;
     serve::log(&settings);
     let told = ground.clone();
@@ -291,6 +300,7 @@
             let told = serve::section(&name, "steward", settings.steward)?;
             runtime.block_on(steward::serve_duties(&told, ground))
         }
+        Kind::Seat => runtime.block_on(seat::sit(seat, ground)),
         Kind::Archive => {
             let told = serve::section(&name, "archive", settings.archive)?;
             runtime.block_on(archive::keep(&told, ground))
--- a/crates/cli/tests/proving.rs
+++ b/crates/cli/tests/proving.rs
@@ -181,6 +181,41 @@
     );
 }
 
+#[test]
+fn parts_of_a_quota_sum_to_it_whoever_is_stopped_killed_or_cut_off() {
+    let run = holds(
+        "(schedule (stewards 3) (seats 5) (parts 3) (servers 4) (span 9s)
+           (fault (at 0s) (do rate) (who \"n1\") (value 0.99) (span 3600s)) (fault (at 0s) (do rate) (who \"n2\") (value 1.01) (span 3600s))
+           (fault (at 3s) (do pause) (who \"s1\") (span 1500ms)) (fault (at 4s) (do kill) (who \"s2\") (span 500ms))
+           (fault (at 4500ms) (do hold) (who \"n1\") (way back) (span 1200ms)) (fault (at 5s) (do pause) (who \"n2\") (span 2s))
+           (fault (at 6s) (do cut) (who \"n3\") (span 1s)) (fault (at 6500ms) (do kill) (who \"n4\") (span 300ms)))",
+    );
+    assert!(run.counts.parts > 50, "{:?}", run.counts);
+    let most = run.history.told().filter_map(|(entry, event)| match event {
+        Event::Goes { rate, .. } if entry.who == "n1" => Some(*rate),
+        _ => None,
+    });
+    assert!(most.fold(0.0, f64::max) > 40.0, "more than twice the equal share");
+}
+
+#[test]
+fn a_release_of_all_servers_goes_by_turns_also_when_their_owner_is_killed() {
+    let release = |at: usize| format!("(fault (at 5s) (do release) (who \"n{at}\") (span 0s))");
+    let all: Vec<String> = (1..=6).map(release).collect();
+    let run = holds(&format!(
+        "(schedule (stewards 3) (seats 6) (parts 3) (servers 4) (span 16s) {}
+           (fault (at 5300ms) (do kill) (who \"s1\") (span 300ms)))",
+        all.join(" ")
+    ));
+    assert!(run.counts.turns >= 4, "{:?}", run.counts);
+    let back = |who: &str| {
+        run.history
+            .told()
+            .any(|(entry, event)| entry.who == who && entry.life == 2 && matches!(event, Event::Ready { .. }))
+    };
+    assert!((1..=6).all(|at| back(&format!("n{at}"))), "{:?}", run.counts);
+}
+
 #[test]
 fn drawn_schedules_hold() {
     for seed in [1, 5, 16] {
--- a/crates/owners/src/lib.rs
+++ b/crates/owners/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod assign;
+pub mod desk;
 pub mod fence;
 pub mod holder;
 pub mod pace;
--- a/crates/owners/src/quota.rs
+++ b/crates/owners/src/quota.rs
@@ -79,6 +79,11 @@
         true
     }
 
+    /// Until when the part that it goes by holds, if it goes by one.
+    pub fn until(&self, now: f64) -> Option<f64> {
+        self.held.as_ref().map(|(_, until)| *until).filter(|until| now < *until)
+    }
+
     /// What it may settle for the customer now, txns a second.
     pub fn rate(&self, now: f64) -> f64 {
         match &self.held {
--- a/crates/owners/src/words.rs
+++ b/crates/owners/src/words.rs
@@ -100,6 +100,20 @@
         epoch: Epoch,
         why: String,
     },
+    /// A server goes by this rate for a customer from `at` on, and by no more than the lower of it and the equal share from `until` on if nothing else
+    /// is told; both s of the machine's monotonic clock.
+    Goes {
+        customer: String,
+        rate: f64,
+        equal: f64,
+        at: f64,
+        until: Option<f64>,
+    },
+    /// A server leaves: by a turn under this epoch, or without.
+    Leaves {
+        zone: String,
+        by: Option<Epoch>,
+    },
     /// A fence judged an effect, or the announcement of an owner where there is no piece; its number is then the last that stands.
     Judged {
         duty: Duty,
--- a/crates/proving/src/check.rs
+++ b/crates/proving/src/check.rs
@@ -54,6 +54,19 @@
     PieceTwice {
         piece: String,
     },
+    /// What servers went by summed to more than the quota.
+    OverQuota {
+        at: f64,
+        sum: f64,
+        quota: f64,
+    },
+    /// More servers were away by a turn than may.
+    TooManyAway {
+        at: f64,
+        zone: Option<String>,
+        away: usize,
+        most: usize,
+    },
     /// An instance said that it began with a grant that another was given.
     NotGiven {
         owner: Owner,
@@ -83,6 +96,13 @@
                 write!(out, "{duty}: effect {number} of epoch {epoch} landed out of its order")
             }
             Broken::PieceTwice { piece } => write!(out, "{piece} was taken twice"),
+            Broken::OverQuota { at, sum, quota } => {
+                write!(out, "at {at:.3} s servers went by {sum:.3} of a quota of {quota}")
+            }
+            Broken::TooManyAway { at, zone, away, most } => {
+                let zone = zone.as_deref().unwrap_or("the fleet");
+                write!(out, "at {at:.3} s {away} servers of {zone} were away by a turn, {most} may be")
+            }
             Broken::NotGiven { owner, duty, epoch } => {
                 write!(out, "{owner} began with {duty} under epoch {epoch}, which it was not given")
             }
@@ -102,6 +122,9 @@
     pub late: u64,
     pub repeats: u64,
     pub leaders: u64,
+    /// Parts of quotas that servers went by, and turns by which they left.
+    pub parts: u64,
+    pub turns: u64,
 }
 
 impl std::ops::AddAssign for Counts {
@@ -111,6 +134,8 @@
         self.late += other.late;
         self.repeats += other.repeats;
         self.leaders += other.leaders;
+        self.parts += other.parts;
+        self.turns += other.turns;
     }
 }
 
@@ -132,6 +157,73 @@
     (counts, broken)
 }
 
+/// What servers went by at each moment, by the machine's own clock: it never sums to more than the quota. A server that starts anew knows of no part and
+/// begins with the equal share; it is granted that on top until its part before has run out and the owner has heard, `span` s.
+pub fn quota(history: &History, quota: f64, span: f64, counts: &mut Counts) -> Option<Broken> {
+    /// A server's rate from a moment on: until when, and what then.
+    #[derive(Clone, Copy)]
+    struct Goes {
+        rate: f64,
+        until: f64,
+        then: f64,
+        anew: f64,
+    }
+    let mut all: Vec<(f64, &str, u32, f64, f64, Option<f64>)> = Vec::new();
+    for (entry, event) in history.told() {
+        if let Event::Goes { rate, equal, at, until, .. } = event {
+            counts.parts += u64::from(until.is_some());
+            all.push((*at, &entry.who, entry.life, *rate, *equal, *until));
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let begun = all.first().map_or(0.0, |first| first.0);
+    let mut now: BTreeMap<&str, Goes> = BTreeMap::new();
+    let mut lives: BTreeMap<&str, u32> = BTreeMap::new();
+    for (at, who, life, rate, equal, until) in all {
+        let restarted = lives.insert(who, life).is_some_and(|before| before < life);
+        let until = until.unwrap_or(f64::MAX);
+        let before = now.get(who).map_or(f64::MIN, |goes| goes.anew);
+        let anew = if restarted { at + 3.0 * span } else { before };
+        now.insert(who, Goes { rate, until, then: rate.min(equal), anew });
+        let goes = |goes: &Goes| if at < goes.until { goes.rate } else { goes.then };
+        let sum: f64 = now.values().map(goes).sum();
+        let anew = now.values().filter(|goes| at < goes.anew).count() as f64;
+        let bound = quota * 1.0001 + anew * equal;
+        if sum > bound {
+            return Some(Broken::OverQuota { at: at - begun, sum, quota });
+        }
+    }
+    None
+}
+
+/// Servers away by a turn, from their leave to the next life's beginning, in all and by zone.
+pub fn turns(
+    history: &History,
+    most: usize,
+    of_zone: &BTreeMap<String, usize>,
+    counts: &mut Counts,
+) -> Option<Broken> {
+    let mut away: BTreeMap<&str, &str> = BTreeMap::new();
+    for (entry, event) in history.told() {
+        match event {
+            Event::Ready { .. } => drop(away.remove(entry.who.as_str())),
+            Event::Leaves { zone, by: Some(_) } => {
+                counts.turns += 1;
+                away.insert(&entry.who, zone);
+                let here = away.values().filter(|of| **of == zone).count();
+                let may = of_zone.get(zone).copied().unwrap_or(usize::MAX);
+                if away.len() > most || here > may {
+                    let (zone, away, most) =
+                        if here > may { (Some(zone.clone()), here, may) } else { (None, away.len(), most) };
+                    return Some(Broken::TooManyAway { at: entry.at, zone, away, most });
+                }
+            }
+            _ => {}
+        }
+    }
+    None
+}
+
 /// Every grant as some keeper saw it. A keeper that starts anew tells again what it reads off its disk: that must be the same.
 fn grants(
     history: &History,
@@ -298,6 +390,50 @@
         }
     }
 
+    #[test]
+    fn rates_that_sum_to_more_than_the_quota_are_found_at_their_moment() {
+        let goes = |rate, at, until| Event::Goes { customer: "a".into(), rate, equal: 50.0, at, until };
+        let sound = vec![
+            ("n1", goes(50.0, 0.0, None)),
+            ("n2", goes(50.0, 0.0, None)),
+            ("n2", goes(20.0, 1.0, Some(3.0))),
+            ("n1", goes(80.0, 1.5, Some(3.5))),
+        ];
+        let mut counts = Counts::default();
+        assert_eq!(quota(&history(sound.clone()), 100.0, 2.0, &mut counts), None);
+        assert_eq!(counts.parts, 2);
+        // Told late, though it ran out in time: n1 goes by no more than the equal share by then.
+        let late = [sound.clone(), vec![("n2", goes(50.0, 5.0, None))]].concat();
+        assert_eq!(quota(&history(late), 100.0, 2.0, &mut counts), None);
+        let over = [sound, vec![("n2", goes(30.0, 2.0, Some(4.0)))]].concat();
+        let found = quota(&history(over), 100.0, 2.0, &mut counts).unwrap();
+        assert_eq!(found, Broken::OverQuota { at: 2.0, sum: 110.0, quota: 100.0 });
+    }
+
+    #[test]
+    fn more_away_by_a_turn_than_may_is_found() {
+        let leaves = |zone: &str, by| Event::Leaves { zone: zone.into(), by };
+        let ready = || Event::Ready { listen: String::new() };
+        let zones = BTreeMap::from([("a".to_string(), 1), ("b".to_string(), 2)]);
+        let sound = vec![
+            ("n1", leaves("a", Some(1))),
+            ("n2", leaves("a", None)),
+            ("n3", leaves("b", Some(1))),
+            ("n1", ready()),
+            ("n4", leaves("a", Some(1))),
+        ];
+        let mut counts = Counts::default();
+        assert_eq!(turns(&history(sound.clone()), 2, &zones, &mut counts), None);
+        assert_eq!(counts.turns, 3);
+        let all = [sound.clone(), vec![("n5", leaves("b", Some(1)))]].concat();
+        assert!(turns(&history(all), 2, &zones, &mut counts).is_some());
+        let zone = [sound, vec![("n3", ready()), ("n6", leaves("a", Some(2)))]].concat();
+        assert!(turns(&history(zone), 9, &zones, &mut counts)
+            .unwrap()
+            .to_string()
+            .contains("2 servers of a"));
+    }
+
     #[test]
     fn each_kind_of_harm_is_found() {
         let leads = |keeper, term| Event::Leads { keeper, term };
--- a/crates/proving/src/ground.rs
+++ b/crates/proving/src/ground.rs
@@ -37,6 +37,14 @@
 /// Operators that pause, resume and look, and what they may ask in all.
 const OPERATORS: u64 = 3;
 const ASKED: usize = 60;
+/// What the stand-in servers share: one customer's quota, most of it asked of the first server; its parts' span in s.
+const QUOTA: f64 = 100.0;
+const SPAN: f64 = 0.8;
+/// Servers that may be away by a turn at once, of each of two zones; how long a turn lasts, and a drain, s.
+const AWAY: usize = 2;
+const ZONE_SHARE: f64 = 0.34;
+const TURN: f64 = 4.0;
+const DRAIN: f64 = 0.3;
 /// The duty that operators pause: nobody wants it.
 const SPARE: &str = "spare";
 
@@ -142,7 +150,15 @@
     ground.listen();
     run.history = std::mem::take(&mut ground.history);
     played?;
-    let (counts, broken) = check(&run.history);
+    let (mut counts, mut broken) = check(&run.history);
+    if schedule.seats > 0 {
+        let zone = |at: usize| {
+            ((1..=schedule.seats).filter(|seat| seat % 2 == at).count() as f64 * ZONE_SHARE) as usize
+        };
+        let zones = [0, 1].map(|at| (format!("z{at}"), zone(at).max(1))).into();
+        broken.extend(crate::check::quota(&run.history, QUOTA, SPAN, &mut counts));
+        broken.extend(crate::check::turns(&run.history, AWAY, &zones, &mut counts));
+    }
     run.counts = counts;
     run.failures.extend(broken.iter().map(ToString::to_string));
     if run.failures.is_empty() && !setup.keep {
@@ -170,6 +186,7 @@
             Who::Keeper(number) => number as u32,
             Who::Archive => 100,
             Who::Steward(number) => 1000 + number as u32,
+            Who::Seat(number) => 1400 + number as u32,
         };
         let host = self.block * 2048 + place;
         let [_, a, b, c] = (host + (16 << 16)).to_be_bytes();
@@ -205,8 +222,15 @@
                 self.link(from, to).await?;
             }
         }
+        for seat in (1..=self.schedule.seats).map(Who::Seat) {
+            for &to in &stewards {
+                self.link(seat, to).await?;
+            }
+        }
         for who in self.schedule.all() {
             let text = match who {
+                // Told by its arguments.
+                Who::Seat(_) => String::new(),
                 Who::Keeper(number) => self.keeper(number),
                 Who::Steward(number) => self.steward(number),
                 Who::Archive => format!(
@@ -253,10 +277,14 @@
             }
         }
         let (term, parts) = (self.schedule.term, self.schedule.parts);
+        let reported = match self.schedule.seats {
+            0 => "",
+            _ => "(duty (name \"quota\")) (duty (name \"turns\"))",
+        };
         // All times in terms, but for the tick: an election has to fit into a term.
         format!(
             "(keeper (number {number}) (listen \"{}\") (folder \"{}\") (peers {peers})\n  \
-             (duty (name \"gather\") (parts {parts})) (duty (name \"{SPARE}\"))\n  \
+             (duty (name \"gather\") (parts {parts})) (duty (name \"{SPARE}\")) {reported}\n  \
              (term {term}s) (drift 0.03) (stall {}s) (barred {}s) (flaps 1000) (panic {}s) (calm {term}s) (tick {}s))\n",
             self.address(me),
             self.folder.join(me.to_string()).display(),
@@ -282,9 +310,17 @@
         }
         let archive = self.relay(me, Who::Archive).map_or(String::new(), |at| at.to_string());
         let (parts, step) = (self.schedule.parts, (self.schedule.term / 2.0).clamp(0.02, 1.0));
+        let reported = match self.schedule.seats {
+            0 => String::new(),
+            seats => format!(
+                "\n  (listen \"{}\") (quota (servers {seats}) (span {SPAN}s) (customer (name \"a\") (rate {QUOTA})))\n  \
+                 (turns (most {AWAY}) (zone-share {ZONE_SHARE}) (span {TURN}s) (silent 1s))",
+                self.address(me),
+            ),
+        };
         format!(
             "(steward (name \"{me}\") (folder \"{}\") (keepers{keepers})\n  \
-             (gather (traces \"{}\") (archive \"{archive}\") (parts {parts}) (every 100ms) (step {step}s)))\n",
+             (gather (traces \"{}\") (archive \"{archive}\") (parts {parts}) (every 100ms) (step {step}s)){reported})\n",
             self.folder.join(me.to_string()).display(),
             self.folder.join("traces").display(),
         )
@@ -307,6 +343,7 @@
             Who::Keeper(_) => "keeper",
             Who::Steward(_) => "steward",
             Who::Archive => "archive",
+            Who::Seat(_) => "seat",
         };
         let mut args = vec![kind.to_string(), "--settings".into(), part.settings.display().to_string()];
         args.extend([format!("--rate={}", part.rate), format!("--wall={}", part.wall)]);
@@ -314,6 +351,25 @@
         if who == Who::Archive && self.setup.forgets_epochs {
             args.push("--forgets-epochs".into());
         }
+        if let Who::Seat(number) = who {
+            let seats = self.schedule.seats;
+            let stewards =
+                self.links.iter().filter(|link| link.from == who).map(|link| link.relay.at.to_string());
+            let demand = if number == 1 { 0.7 * QUOTA } else { 0.2 * QUOTA / seats as f64 };
+            args = vec![kind.into(), format!("--settings={}", part.settings.display())];
+            args.extend([
+                format!("--rate={}", part.rate),
+                format!("--seats={seats}"),
+                format!("--quota={QUOTA}"),
+            ]);
+            args.extend([
+                format!("--demand={demand}"),
+                format!("--zone=z{}", number % 2),
+                format!("--name={who}"),
+            ]);
+            args.extend([format!("--life={}", part.life), format!("--drain={DRAIN}")]);
+            args.push(format!("--stewards={}", stewards.collect::<Vec<_>>().join(",")));
+        }
         let (name, life) = (who.to_string(), part.life);
         let log = self.folder.join(format!("{name}.log"));
         let started = Process::start(&program, &args, &name, life, &log, self.tell.clone());
@@ -454,11 +510,22 @@
         let ended: Vec<(Who, String)> = self
             .parts
             .iter_mut()
-            .filter(|(_, part)| !part.leaves)
             .filter_map(|(who, part)| Some((*who, part.process.as_mut()?.ended()?)))
             .collect();
         for (who, how) in ended {
             let now = self.now();
+            let part = self.parts.get_mut(&who).filter(|part| part.leaves);
+            if let Some(part) = part {
+                let life = part.life;
+                if matches!(who, Who::Seat(_)) {
+                    part.process = None;
+                    self.history.tell(now, who, life, Happened::Ended { how });
+                    if let Err(what) = self.start(who) {
+                        run.failures.push(what);
+                    }
+                }
+                continue;
+            }
             run.failures.push(format!("{who} ended by itself after {now:.2} s, {how}: {}", self.log_of(who)));
             if let Some(part) = self.parts.get_mut(&who) {
                 part.process = None;
@@ -493,7 +560,7 @@
         match fault.what {
             What::Pause | What::PauseLeader => part.process.iter_mut().for_each(Process::pause),
             What::Kill | What::KillLeader | What::Lose => part.process = None,
-            What::Leave => {
+            What::Leave | What::Release => {
                 part.leaves = true;
                 part.process.iter().for_each(Process::leave);
             }
@@ -552,7 +619,7 @@
                 let process = self.parts.get_mut(&who).and_then(|part| part.process.as_mut());
                 process.into_iter().for_each(|process| process.order("sync", 0.0));
             }
-            What::Reset | What::Rate | What::Wall => {}
+            What::Reset | What::Rate | What::Wall | What::Release => {}
         }
         Ok(())
     }
@@ -713,8 +780,12 @@
 
     /// All are told to leave; then what the archive holds is compared with what the servers wrote.
     async fn end(&mut self, run: &mut Run) -> Result<(), String> {
-        for part in self.parts.values() {
-            part.process.iter().for_each(Process::leave);
+        for (who, part) in &mut self.parts {
+            match who {
+                // They would wait for their turns, and whoever gives those leaves too.
+                Who::Seat(_) => part.process = None,
+                _ => part.process.iter().for_each(Process::leave),
+            }
         }
         let gone = |ground: &mut Ground| {
             ground
--- a/crates/proving/src/schedule.rs
+++ b/crates/proving/src/schedule.rs
@@ -18,6 +18,8 @@
     Keeper(u64),
     Steward(usize),
     Archive,
+    /// A stand-in server that reports to the stewards.
+    Seat(usize),
 }
 
 impl fmt::Display for Who {
@@ -26,6 +28,7 @@
             Who::Keeper(number) => write!(out, "k{number}"),
             Who::Steward(number) => write!(out, "s{number}"),
             Who::Archive => out.write_str("archive"),
+            Who::Seat(number) => write!(out, "n{number}"),
         }
     }
 }
@@ -40,6 +43,7 @@
         match kind {
             "k" => Some(Who::Keeper(number)),
             "s" => Some(Who::Steward(number as usize)),
+            "n" => Some(Who::Seat(number as usize)),
             _ => None,
         }
     }
@@ -65,6 +69,8 @@
     KillLeader,
     /// SIGTERM, and a new start after the span.
     Leave,
+    /// SIGTERM to a server, and a new start once it has left by itself.
+    Release,
     /// A keeper's disk is lost for good; another keeper joins in its place after the span.
     Lose,
     /// Nothing passes a link; after the span its connections break.
@@ -85,12 +91,13 @@
     Sync,
 }
 
-const WORDS: [(&str, What); 14] = [
+const WORDS: [(&str, What); 15] = [
     ("pause", What::Pause),
     ("pause-leader", What::PauseLeader),
     ("kill", What::Kill),
     ("kill-leader", What::KillLeader),
     ("leave", What::Leave),
+    ("release", What::Release),
     ("lose", What::Lose),
     ("cut", What::Cut),
     ("hold", What::Hold),
@@ -148,6 +155,8 @@
     pub seed: u64,
     pub keepers: u64,
     pub stewards: usize,
+    /// Stand-in servers that report to the stewards, for parts of a quota and turns to leave.
+    pub seats: usize,
     /// Servers whose traces are gathered, and parts of that duty.
     pub servers: usize,
     pub parts: usize,
@@ -167,6 +176,7 @@
             seed: 1,
             keepers: 3,
             stewards: 3,
+            seats: 0,
             servers: 6,
             parts: 6,
             backlog: 1,
@@ -193,6 +203,7 @@
                 seed: block.count("seed", usual.seed as usize, 0..=usize::MAX) as u64,
                 keepers: block.count("keepers", usual.keepers as usize, 1..=9) as u64,
                 stewards: block.count("stewards", usual.stewards, 1..=300),
+                seats: block.count("seats", usual.seats, 0..=300),
                 servers: block.count("servers", usual.servers, 1..=300),
                 parts: block.count("parts", usual.parts, 1..=10_000),
                 backlog: block.count("backlog", usual.backlog, 0..=10_000),
@@ -224,12 +235,14 @@
             Who::Keeper(number) => (1..=self.keepers).contains(&number),
             Who::Steward(number) => (1..=self.stewards).contains(&number),
             Who::Archive => true,
+            Who::Seat(number) => (1..=self.seats).contains(&number),
         }
     }
 
     pub fn all(&self) -> Vec<Who> {
         let keepers = (1..=self.keepers).map(Who::Keeper);
-        keepers.chain([Who::Archive]).chain((1..=self.stewards).map(Who::Steward)).collect()
+        let stewards = (1..=self.stewards).map(Who::Steward);
+        keepers.chain([Who::Archive]).chain(stewards).chain((1..=self.seats).map(Who::Seat)).collect()
     }
 
     /// Whether a part of it can be left out without making it another kind of schedule.
@@ -299,6 +312,21 @@
             };
             drawn.faults.push(fault);
         }
+        // Servers fail too: two or three times where there are any.
+        for _ in 0..if drawn.seats > 0 { rng.random_range(2..=3) } else { 0 } {
+            let at = rng.random_range(0.3..drawn.span.max(0.6) * 0.9);
+            let seat = Who::Seat(rng.random_range(1..=drawn.seats));
+            let steward = Who::Steward(rng.random_range(1..=drawn.stewards));
+            let span = rng.random_range(0.1..4.0) * drawn.term;
+            let way = [Way::Both, Way::There, Way::Back][rng.random_range(0..3)];
+            drawn.faults.push(match rng.random_range(0..5) {
+                0 => Fault::new(at, What::Pause, seat, span),
+                1 => Fault::new(at, What::Kill, seat, span),
+                2 => Fault { way, ..Fault::new(at, What::Hold, seat, span) },
+                3 => Fault { way, to: Some(steward), ..Fault::new(at, What::Cut, seat, span) },
+                _ => Fault::new(at, What::Release, seat, 0.0),
+            });
+        }
         drawn.faults.sort_by(|a, b| a.at.total_cmp(&b.at));
         drawn
     }
@@ -347,6 +375,9 @@
     if matches!(what, What::Lose | What::Sync) && !keeper {
         block.fault("who", "should be a keeper");
     }
+    if what == What::Release && !matches!(read.who, Who::Seat(_)) {
+        block.fault("who", "should be a server, such as \"n1\"");
+    }
     if what == What::Rate && !(0.1..=10.0).contains(&read.value) {
         block.fault("value", "should be a rate from 0.1 to 10");
     }
@@ -357,7 +388,11 @@
 impl fmt::Display for Schedule {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         let (keepers, stewards) = (self.keepers, self.stewards);
-        write!(out, "(schedule (seed {}) (keepers {keepers}) (stewards {stewards})", self.seed)?;
+        write!(
+            out,
+            "(schedule (seed {}) (keepers {keepers}) (stewards {stewards}) (seats {})",
+            self.seed, self.seats
+        )?;
         write!(
             out,
             " (servers {}) (parts {}) (span {}s) (term {}s)",
--- a/crates/steward/src/serve.rs
+++ b/crates/steward/src/serve.rs
@@ -3,7 +3,8 @@
 
 use crate::haul::{Came, Haul, Told};
 use crate::link::{Link, News};
-use puffinladder_links::Clock;
+use puffinladder_links::{bind, say, Clock, Fault, Lines};
+use puffinladder_owners::desk::{self, Desk, Reply, Report};
 use puffinladder_owners::holder::{Act, Holder, Stage, Why};
 use puffinladder_owners::route::{Next, Route};
 use puffinladder_owners::table::Refused;
@@ -14,6 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
@@ -26,12 +28,33 @@
     pub incarnation: u64,
     pub keepers: BTreeMap<u64, SocketAddr>,
     pub gather: Option<Told>,
+    pub desk: Option<Reported>,
     /// Duties that it holds beside: nothing is done for them here, whoever asks who owns them learns it from the keepers.
     pub holds: Vec<String>,
     pub clock: Clock,
     pub events: Events,
 }
 
+/// The two duties that answer servers' reports.
+#[derive(Clone, Debug)]
+pub struct Reported {
+    pub listen: SocketAddr,
+    pub told: desk::Told,
+    pub quota: bool,
+    pub turns: bool,
+    pub most_connections: usize,
+}
+
+/// s between answers to reports.
+const PLAN: f64 = 0.1;
+/// Reports that wait for the main task, and answers that wait for one server: it reports again.
+const REPORTS: usize = 4096;
+const REPLIES: usize = 8;
+/// Longest report, in bytes; a server may be silent for so long.
+const REPORT: usize = 4 << 20;
+const SILENCE: Duration = Duration::from_secs(60);
+const UNREAD: Duration = Duration::from_secs(2);
+
 /// The term until a keeper tells it: s.
 const TERM: f64 = 2.0;
 /// s without an answer to any line after which another keeper is tried.
@@ -65,6 +88,8 @@
 }
 
 pub struct Running {
+    /// Where servers report, if anywhere.
+    pub listen: Option<SocketAddr>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
@@ -84,10 +109,46 @@
     }
 }
 
-pub fn start(setup: Setup) -> Running {
+/// Starts a steward; it listens for reports when this returns, if it is to.
+pub async fn start(setup: Setup) -> Result<Running, String> {
     let (stop, stopped) = watch::channel(false);
-    let task = tokio::spawn(Steward::new(setup).work(stopped));
-    Running { stop, task }
+    let (reports, heard) = mpsc::channel(REPORTS);
+    let mut listen = None;
+    if let Some(desk) = &setup.desk {
+        let (listener, at) = bind("reports", desk.listen).await.map_err(|e| e.to_string())?;
+        listen = Some(at);
+        let each = move |stream, _| converse(stream, reports.clone());
+        tokio::spawn(puffinladder_links::serve(
+            listener,
+            "reports",
+            desk.most_connections,
+            stopped.clone(),
+            each,
+        ));
+    }
+    let task = tokio::spawn(Steward::new(setup).work(heard, stopped));
+    Ok(Running { listen, stop, task })
+}
+
+/// A server's report, and the way back to it.
+type Heard = (Report, mpsc::Sender<Reply>);
+
+/// One server's connection: reports come in, answers go out as they are made.
+async fn converse(stream: TcpStream, reports: mpsc::Sender<Heard>) -> Result<(), Fault> {
+    let (from, mut to) = stream.into_split();
+    let (back, mut replies) = mpsc::channel::<Reply>(REPLIES);
+    let mut lines = Lines::new(from, REPORT);
+    loop {
+        tokio::select! {
+            report = lines.within(SILENCE) => match report? {
+                Some(report) => if reports.send((report, back.clone())).await.is_err() {
+                    return Ok(());
+                },
+                None => return Ok(()),
+            },
+            Some(reply) = replies.recv() => drop(say(&mut to, &reply, UNREAD).await?),
+        }
+    }
 }
 
 struct Steward {
@@ -99,6 +160,10 @@
     /// When the line was sent that is not answered yet.
     unanswered: Option<f64>,
     works: BTreeMap<Duty, Work>,
+    desk: Option<Desk>,
+    /// Where each server was heard last, and when answers are made next.
+    servers: BTreeMap<String, mpsc::Sender<Reply>>,
+    plan_at: f64,
     news: mpsc::Sender<(u64, News)>,
     steps: mpsc::Sender<Stepped>,
     heard: bool,
@@ -107,7 +172,11 @@
 impl Steward {
     fn new(setup: Setup) -> Steward {
         let me = Owner::new(&setup.name, setup.incarnation);
-        let wants = setup.gather.iter().map(|_| "gather".to_string()).chain(setup.holds.iter().cloned());
+        let mut wants = setup.holds.clone();
+        wants.extend(setup.gather.iter().map(|_| "gather".to_string()));
+        wants.extend(setup.desk.iter().filter(|desk| desk.quota).map(|_| desk::QUOTA.to_string()));
+        wants.extend(setup.desk.iter().filter(|desk| desk.turns).map(|_| desk::TURNS.to_string()));
+        let desk = setup.desk.as_ref().map(|reported| Desk::new(reported.told.clone()));
         let seed = puffinladder_owners::assign::rank("route", setup.incarnation as u32, &setup.name);
         // What is received in place of these comes with the two channels of `work`.
         let (news, _) = mpsc::channel(1);
@@ -120,13 +189,16 @@
             links: 0,
             unanswered: None,
             works: BTreeMap::new(),
+            desk,
+            servers: BTreeMap::new(),
+            plan_at: 0.0,
             news,
             steps,
             heard: true,
         }
     }
 
-    async fn work(mut self, mut stopped: watch::Receiver<bool>) {
+    async fn work(mut self, mut reports: mpsc::Receiver<Heard>, mut stopped: watch::Receiver<bool>) {
         let (news, mut on_links) = mpsc::channel(NEWS);
         let (steps, mut ended) = mpsc::channel(NEWS);
         (self.news, self.steps) = (news, steps);
@@ -137,6 +209,7 @@
             tokio::select! {
                 Some((number, news)) = on_links.recv() => self.hear(clock.now(), number, news),
                 Some(stepped) = ended.recv() => self.stepped(clock.now(), stepped),
+                Some((report, back)) = reports.recv() => self.report(clock.now(), report, back),
                 _ = stopped.changed(), if leave_by == f64::MAX => {
                     tracing::info!("{}: was told to leave, hands over", self.holder.me());
                     leave_by = clock.now() + LEAVE;
@@ -151,6 +224,7 @@
             self.carry(now, acts);
             self.speak(now);
             self.begin_steps(now);
+            self.plan(now);
             if now >= leave_by || self.done(leave_by) {
                 return;
             }
@@ -176,6 +250,9 @@
         } else {
             next = now;
         }
+        if self.desk.is_some() {
+            next = next.min(self.plan_at);
+        }
         let works = self.works.values().filter(|work| work.haul.is_some()).map(|work| work.due);
         self.setup.clock.sleep(works.fold(next, f64::min).max(now + 0.001) - now)
     }
@@ -267,6 +344,9 @@
                 Act::Begin(duty, epoch) => {
                     tracing::info!("{me}: begins with {duty}, epoch {epoch}");
                     self.setup.events.tell(&Event::Begin { owner: me.clone(), duty: duty.clone(), epoch });
+                    if let Some(desk) = &mut self.desk {
+                        desk.begin(now, &duty, epoch);
+                    }
                     let told = self.setup.gather.clone().filter(|_| duty.name == "gather");
                     if let Some(told) = told {
                         let haul = Some(Haul::new(told, duty.clone(), epoch));
@@ -286,6 +366,9 @@
                     let owner = me.clone();
                     let why = text(why).to_string();
                     self.setup.events.tell(&Event::Down { owner, duty: duty.clone(), epoch, why });
+                    if let Some(desk) = &mut self.desk {
+                        desk.end(&duty, epoch);
+                    }
                     if self.works.get(&duty).is_some_and(|work| work.epoch == epoch) {
                         // A step that is under way comes back to nobody, and is told to the holder alone.
                         self.works.remove(&duty);
@@ -295,6 +378,38 @@
         }
     }
 
+    fn report(&mut self, now: f64, report: Report, back: mpsc::Sender<Reply>) {
+        let Some(desk) = &mut self.desk else { return };
+        match desk.hear(now, &report) {
+            Ok(()) => drop(self.servers.insert(report.server, back)),
+            Err(what) => tracing::debug!("{}: a report of {:.64}: {what}", self.holder.me(), report.server),
+        }
+    }
+
+    /// Answers servers, a step for each part of the two duties that it owns. Looked at before each: what is said after its term would be too much.
+    fn plan(&mut self, now: f64) {
+        let Some(desk) = self.desk.as_mut().filter(|_| now >= self.plan_at) else { return };
+        self.plan_at = now + PLAN;
+        let held =
+            self.holder.holds().filter(|(duty, _)| [desk::QUOTA, desk::TURNS].contains(&duty.name.as_str()));
+        let held: Vec<Duty> = held.map(|(duty, _)| duty.clone()).collect();
+        let mut acts = Vec::new();
+        for duty in held {
+            let now = self.setup.clock.now();
+            let Some((epoch, _)) = self.holder.may(now, &duty) else { continue };
+            let replies = desk.plan(now, &duty);
+            let progress = !replies.is_empty();
+            for reply in replies {
+                let sent = self.servers.get(&reply.server).map(|back| back.try_send(reply.clone()));
+                if matches!(sent, Some(Err(mpsc::error::TrySendError::Closed(_)))) {
+                    self.servers.remove(&reply.server);
+                }
+            }
+            acts.extend(self.holder.stepped(now, &duty, epoch, progress, false));
+        }
+        self.carry(now, acts);
+    }
+
     /// Begins steps where one is due and the term allows it.
     fn begin_steps(&mut self, now: f64) {
         for (duty, work) in &mut self.works {
