A two-step archive is found out; even loads are not looked at each time

Need: the second planted bug that shows on processes, and a keeper's CPU under 10,000 parts. Change: the archive can be told to write what it judged before the block, and five kills in between lose rows, which the export shows; loads that were found even are looked at again after a second or when somebody came or went.

--- a/crates/archive/src/serve.rs
+++ b/crates/archive/src/serve.rs
@@ -2,7 +2,7 @@
 //! answered. A disk that fails ends the process, since what it knows is then ahead of what is kept.
 
 use crate::core::{Core, Write};
-use crate::store::Store;
+use crate::store::{Planted, Store};
 use crate::words::{Answer, Ask, Outcome, LINE};
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use puffinladder_links::{bind, say, Fault, Lines};
@@ -23,7 +23,7 @@
     pub most_connections: usize,
     pub events: Events,
     /// For tests: a bug that the checkers must find.
-    pub forgets_epochs: bool,
+    pub planted: Option<Planted>,
 }
 
 /// Pieces that wait for the disk, and that one sync takes.
@@ -55,9 +55,7 @@
 
 pub async fn start(setup: Setup) -> Result<Running, String> {
     let (mut store, core) = Store::open(&setup.folder, setup.most_bytes).map_err(|e| e.to_string())?;
-    if setup.forgets_epochs {
-        store.forget_epochs();
-    }
+    store.plant(setup.planted);
     let (listener, listen) = bind("archive", setup.listen).await.map_err(|e| e.to_string())?;
     let (stop, stopped) = watch::channel(false);
     let (asks, heard) = mpsc::channel(WAITING);
--- a/crates/archive/src/store.rs
+++ b/crates/archive/src/store.rs
@@ -37,12 +37,40 @@
     order: u64,
 }
 
+/// Bugs that the proving ground plants, and must find out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// Epochs are kept in memory only.
+    ForgetsEpochs,
+    /// What was judged is written first, and the block after it.
+    TwoSteps,
+}
+
+impl std::str::FromStr for Planted {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Planted, String> {
+        match text {
+            "forgets-epochs" => Ok(Planted::ForgetsEpochs),
+            "two-steps" => Ok(Planted::TwoSteps),
+            _ => Err("should be forgets-epochs or two-steps".into()),
+        }
+    }
+}
+
+impl std::fmt::Display for Planted {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        out.write_str(match self {
+            Planted::ForgetsEpochs => "forgets-epochs",
+            Planted::TwoSteps => "two-steps",
+        })
+    }
+}
+
 pub struct Store {
     db: Database,
     path: PathBuf,
     orders: u64,
-    /// For tests: epochs are not kept, which the checkers must find out.
-    forgets_epochs: bool,
+    planted: Option<Planted>,
 }
 
 impl Store {
@@ -57,7 +85,7 @@
             DatabaseError::DatabaseAlreadyOpen => Fault::Taken(path.clone()),
             e => failed(e.to_string()),
         })?;
-        let mut store = Store { db, path: path.clone(), orders: 0, forgets_epochs: false };
+        let mut store = Store { db, path: path.clone(), orders: 0, planted: None };
         match store.schema().map_err(|e| failed(e.to_string()))? {
             SCHEMA => {}
             found => return Err(Fault::Schema { path, found }),
@@ -66,8 +94,8 @@
         Ok((store, core))
     }
 
-    pub fn forget_epochs(&mut self) {
-        self.forgets_epochs = true;
+    pub fn plant(&mut self, planted: Option<Planted>) {
+        self.planted = planted;
     }
 
     fn schema(&self) -> Result<u32, Any> {
@@ -111,10 +139,18 @@
 
     /// Brings these to disk together, with one sync. When it fails none of them may be taken for written.
     pub fn keep(&mut self, writes: &[(Write, Vec<u8>)]) -> Result<(), Fault> {
-        self.write(writes).map_err(|e| Fault::Store { path: self.path.clone(), what: e.to_string() })
+        let written = match self.planted {
+            Some(Planted::TwoSteps) => self.write(writes, true, false).and_then(|()| {
+                std::thread::sleep(std::time::Duration::from_millis(20));
+                self.write(writes, false, true)
+            }),
+            _ => self.write(writes, true, true),
+        };
+        written.map_err(|e| Fault::Store { path: self.path.clone(), what: e.to_string() })
     }
 
-    fn write(&mut self, writes: &[(Write, Vec<u8>)]) -> Result<(), Any> {
+    /// What was judged, the blocks, or both.
+    fn write(&mut self, writes: &[(Write, Vec<u8>)], judged: bool, with_blocks: bool) -> Result<(), Any> {
         let tx = self.db.begin_write()?;
         {
             let mut fence = tx.open_table(FENCE)?;
@@ -122,7 +158,7 @@
             let mut blocks = tx.open_table(BLOCKS)?;
             for (write, block) in writes {
                 let seen = postcard::to_allocvec(&write.seen)?;
-                if !self.forgets_epochs {
+                if judged && self.planted != Some(Planted::ForgetsEpochs) {
                     fence.insert((write.duty.name.as_str(), write.duty.part), seen.as_slice())?;
                 }
                 for Source { server, file } in &write.forget {
@@ -134,15 +170,18 @@
                 }
                 let Some((Source { server, file }, place, taken)) = &write.piece else { continue };
                 let key = (server.as_str(), file.as_str());
+                if with_blocks && !block.is_empty() {
+                    blocks.insert((key.0, key.1, *place), block.as_slice())?;
+                }
+                if !judged {
+                    continue;
+                }
                 let before = files.get(key)?.map(|value| decode::<Kept>(value.value())).transpose()?;
                 let bytes = before.map_or(0, |kept| kept.bytes) + block.len() as u64;
                 self.orders += u64::from(taken.done);
                 let order = if taken.done { self.orders } else { 0 };
                 let kept = postcard::to_allocvec(&Kept { taken: *taken, bytes, order })?;
                 files.insert(key, kept.as_slice())?;
-                if !block.is_empty() {
-                    blocks.insert((key.0, key.1, *place), block.as_slice())?;
-                }
             }
         }
         Ok(tx.commit()?)
--- a/crates/cli/src/fleet/archive.rs
+++ b/crates/cli/src/fleet/archive.rs
@@ -91,7 +91,7 @@
         most_bytes: told.most_bytes,
         most_connections: told.most_connections,
         events: ground.events,
-        forgets_epochs: ground.forgets_epochs,
+        planted: ground.planted,
     };
     let mut running = start(setup).await.map_err(failed)?;
     match serve::until_told(running.ended()).await? {
--- a/crates/cli/src/fleet/mod.rs
+++ b/crates/cli/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod steward;
 
 use crate::say::{Done, Wrong};
+use puffinladder_archive::store::Planted;
 use puffinladder_links::{dial, say, Clock, Lines};
 use puffinladder_owners::words::Events;
 use serde::{de::DeserializeOwned, Serialize};
@@ -22,17 +23,12 @@
     /// ms that a keeper's syncs take longer.
     pub sync_pause: Arc<AtomicU64>,
     /// A bug in the archive that the checkers must find.
-    pub forgets_epochs: bool,
+    pub planted: Option<Planted>,
 }
 
 impl Ground {
     pub fn usual(events: bool) -> Ground {
-        Ground {
-            clock: Clock::system(),
-            events: Events(events),
-            sync_pause: Arc::default(),
-            forgets_epochs: false,
-        }
+        Ground { clock: Clock::system(), events: Events(events), sync_pause: Arc::default(), planted: None }
     }
 }
 
--- a/crates/cli/src/prove/mod.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -7,6 +7,7 @@
 use crate::say::{bar, Done, Wrong};
 use crate::serve;
 use clap::{Args, Subcommand, ValueEnum};
+use puffinladder_archive::store::Planted;
 use puffinladder_links::Clock;
 use puffinladder_owners::words::Events;
 use puffinladder_proving::check::Counts;
@@ -31,9 +32,9 @@
     /// Keep the run in a folder here, whatever came of it
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
-    /// Plant a bug: the archive forgets the epochs that it has seen when it starts anew
-    #[arg(long)]
-    plant: bool,
+    /// Plant a bug in the archive, which the checkers must find: forgets-epochs, two-steps
+    #[arg(long, value_name = "BUG")]
+    plant: Option<Planted>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -81,8 +82,9 @@
         /// Cut a schedule that fails down to the least that does, with so many tries
         #[arg(long, default_value_t = 0)]
         shrink: usize,
-        #[arg(long)]
-        plant: bool,
+        /// Plant a bug in the archive
+        #[arg(long, value_name = "BUG")]
+        plant: Option<Planted>,
         #[command(flatten)]
         size: Size,
     },
@@ -121,7 +123,7 @@
         wall: f64,
         /// A bug that the checkers must find
         #[arg(long)]
-        forgets_epochs: bool,
+        plant: Option<Planted>,
         #[command(flatten)]
         seat: seat::Told,
     },
@@ -153,26 +155,26 @@
             random(seed, count, jobs.max(1), failed, shrink, plant, &size)
         }
         (Some(Command::Bench { rounds, instances, parts, span }), _) => {
-            let setup = ground(std::env::temp_dir(), false, false)?;
+            let setup = ground(std::env::temp_dir(), false, None)?;
             bench::bench(&setup, rounds, &instances, parts, span)
         }
-        (Some(Command::Part { kind, settings, found, join, rate, wall, forgets_epochs, seat }), _) => {
+        (Some(Command::Part { kind, settings, found, join, rate, wall, plant, seat }), _) => {
             let clock = Clock::skewed(rate, wall);
             let ground =
-                Ground { clock, events: Events(true), sync_pause: Default::default(), forgets_epochs };
+                Ground { clock, events: Events(true), sync_pause: Default::default(), planted: plant };
             part(kind, settings, found, join, &seat, &ground)
         }
     }
 }
 
 /// How the ground starts the processes: as this program's hidden command.
-fn ground(folder: PathBuf, keep: bool, plant: bool) -> Done<Setup> {
+fn ground(folder: PathBuf, keep: bool, plant: Option<Planted>) -> Done<Setup> {
     let path = std::env::current_exe()?;
     let program = Program { path, before: vec!["prove".into(), "part".into()] };
-    Ok(Setup { program, folder, keep, forgets_epochs: plant })
+    Ok(Setup { program, folder, keep, planted: plant })
 }
 
-fn one(path: &Path, keep: Option<PathBuf>, plant: bool) -> Done {
+fn one(path: &Path, keep: Option<PathBuf>, plant: Option<Planted>) -> Done {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| Wrong::Failed(format!("{name}: {e}")))?;
     let schedule = Schedule::read(&name, &text).map_err(|faults| {
@@ -217,7 +219,7 @@
     jobs: usize,
     failed: PathBuf,
     tries: usize,
-    plant: bool,
+    plant: Option<Planted>,
     size: &Schedule,
 ) -> Done {
     let setup = ground(failed, false, plant)?;
--- a/crates/cli/tests/proving.rs
+++ b/crates/cli/tests/proving.rs
@@ -1,6 +1,7 @@
 //! Owners, keepers and the archive as processes of the program, with faults between them: a story for each failure. What every run has to hold is
 //! checked by the proving ground itself; each story says beside that what it was about.
 
+use puffinladder_archive::store::Planted;
 use puffinladder_owners::fence::Verdict;
 use puffinladder_owners::table::What;
 use puffinladder_owners::words::Event;
@@ -14,7 +15,7 @@
         path: env!("CARGO_BIN_EXE_puffinladder").into(),
         before: vec!["prove".into(), "part".into()],
     };
-    Setup { program, folder: folder.into(), keep: false, forgets_epochs: false }
+    Setup { program, folder: folder.into(), keep: false, planted: None }
 }
 
 fn run(schedule: &Schedule, change: impl Fn(&mut Setup)) -> Run {
@@ -76,7 +77,7 @@
 
 #[test]
 fn a_fence_that_is_kept_in_memory_only_is_found_out() {
-    let run = run(&read(HELD), |setup| setup.forgets_epochs = true);
+    let run = run(&read(HELD), |setup| setup.planted = Some(Planted::ForgetsEpochs));
     let found = |what: &String| what.contains("had been seen");
     assert!(run.failures.iter().any(found), "{:?}", run.failures);
     if let Some(folder) = run.folder {
@@ -84,6 +85,24 @@
     }
 }
 
+#[test]
+fn an_archive_that_judges_and_writes_in_two_steps_is_found_out() {
+    // Killed five times in between, it has lost what it says that it has.
+    let kill =
+        |at: u32| format!("(fault (at {}ms) (do kill) (who \"archive\") (span 100ms))", 1000 + 600 * at);
+    let kills: Vec<String> = (0..5).map(kill).collect();
+    let story = format!(
+        "(schedule (stewards 2) (parts 2) (servers 4) (span 5s) (files 60ms) (backlog 6) {})",
+        kills.join(" ")
+    );
+    assert_eq!(run(&read(&story), |_| {}).failures, Vec::<String>::new());
+    let run = run(&read(&story), |setup| setup.planted = Some(Planted::TwoSteps));
+    assert!(run.failures.iter().any(|what| what.contains("are missing")), "{:?}", run.failures);
+    if let Some(folder) = run.folder {
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
+
 #[test]
 fn an_owner_cut_from_the_keepers_stands_down_and_one_cut_from_the_archive_is_found_out() {
     let cut = holds(
--- a/crates/owners/src/table.rs
+++ b/crates/owners/src/table.rs
@@ -98,6 +98,8 @@
 pub const NAMES: usize = 256;
 /// Longest name of an instance, a zone or a duty, in bytes.
 pub const NAME: usize = 128;
+/// s for which loads that were found even are not looked at again, unless somebody came or went.
+const EVEN: f64 = 1.0;
 /// Of one part: owners that stalled on it and are kept off.
 const BARRED: usize = 8;
 /// Incarnations of one instance that may be heard of within a term.
@@ -337,6 +339,8 @@
     /// When an instance last came or went; whether anything may have to be given.
     stirred: f64,
     dirty: bool,
+    /// When loads were last found even: with ten thousand parts that is not looked at with every entry.
+    even: f64,
 }
 
 /// A grant as operators see it.
@@ -781,9 +785,11 @@
 
     /// Moves parts to those who have too few, a few at a time and only in calm.
     fn level(&mut self, out: &mut Outcome) {
-        if self.now - self.stirred < self.rules.calm || self.panics() {
+        let seen = self.even > self.stirred && self.now - self.even < EVEN;
+        if seen || self.now - self.stirred < self.rules.calm || self.panics() {
             return;
         }
+        let mut moved = false;
         let mut room = self.rules.moves.saturating_sub(self.backs.len());
         let names: Vec<String> = self.works.keys().cloned().collect();
         for name in names {
@@ -811,6 +817,7 @@
             let barred = |part: u32, who: &str| work.parts[part as usize].bars(who, now);
             let moves = assign::level(&name, &held, work.declared.parts as usize, &candidates, room, barred);
             room -= moves.len();
+            moved |= !moves.is_empty();
             for (part, _, to) in moves {
                 let duty = Duty::new(&name, part);
                 self.works.get_mut(&name).expect("a duty just looked at").parts[part as usize].next =
@@ -818,6 +825,9 @@
                 self.take_back_now(&duty, Cause::Levelled, out);
             }
         }
+        if !moved && self.backs.is_empty() {
+            self.even = self.now;
+        }
     }
 
     /// Takes a grant back at the keepers' own wish: its owner may count on its session as it stands.
--- a/crates/proving/src/ground.rs
+++ b/crates/proving/src/ground.rs
@@ -9,6 +9,7 @@
 use crate::relay::Relay;
 use crate::rows::{write, Rows};
 use crate::schedule::{Fault, Schedule, Way, What, Who};
+use puffinladder_archive::store::Planted;
 use puffinladder_archive::words as archive;
 use puffinladder_links::{dial, say, Lines};
 use puffinladder_owners::table::{Command, Row};
@@ -58,8 +59,8 @@
     /// Where the run's folder is made; it is kept where the run failed, or always.
     pub folder: PathBuf,
     pub keep: bool,
-    /// A planted bug: the archive forgets the epochs that it has seen when it starts anew.
-    pub forgets_epochs: bool,
+    /// A bug planted in the archive, which the checkers must find.
+    pub planted: Option<Planted>,
 }
 
 /// What came of a run.
@@ -348,8 +349,8 @@
         let mut args = vec![kind.to_string(), "--settings".into(), part.settings.display().to_string()];
         args.extend([format!("--rate={}", part.rate), format!("--wall={}", part.wall)]);
         args.extend(part.first.take().map(String::from));
-        if who == Who::Archive && self.setup.forgets_epochs {
-            args.push("--forgets-epochs".into());
+        if who == Who::Archive {
+            args.extend(self.setup.planted.map(|bug| format!("--plant={bug}")));
         }
         if let Who::Seat(number) = who {
             let seats = self.schedule.seats;
--- a/deploy/owners.example.scm
+++ b/deploy/owners.example.scm
@@ -33,3 +33,8 @@
   (folder "/var/lib/puffinladder/archive")
   (most-bytes 10GB)                   ; past it the oldest whole files go
   (most-connections 500))
+
+; Inside (steward ...), for servers that report:
+;   (listen "127.0.0.1:18221")
+;   (quota (parts 1) (servers 300) (span 2s) (customer (name "k001") (rate 120)))    ; txns a second over the fleet
+;   (turns (most 10) (zone-share 0.1) (span 30s) (silent 5s))
