A full archive forgets the first done; owners are told of their own part's files

Read over: an archive that knew a million files took none any more, and told every owner of all of them in one line. Now the file that was done first is forgotten (its server has long removed it), and an announcement says of how many parts its own is one. A keeper that leads no more answers the reads that wait. What runs and is stopped is one type in crates/links.

--- a/crates/archive/src/core.rs
+++ b/crates/archive/src/core.rs
@@ -20,6 +20,8 @@
     pub piece: Option<(Source, u64, Taken)>,
     /// Files whose blocks go, since there is no room for all.
     pub forget: Vec<Source>,
+    /// A file that goes with all that was known of it: as many are known as may be, and it was done before all others.
+    pub unknown: Option<Source>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -29,8 +31,11 @@
     /// Bytes that a file's blocks take, and whole files in the order in which they were done.
     sizes: BTreeMap<Source, u64>,
     order: VecDeque<Source>,
+    /// All that are done, in that order, with blocks or without.
+    done: VecDeque<Source>,
     bytes: u64,
     most: u64,
+    most_files: usize,
     pub refused: u64,
 }
 
@@ -47,12 +52,15 @@
         seen: impl IntoIterator<Item = (Duty, Seen)>,
         files: impl IntoIterator<Item = (Source, Taken, u64)>,
     ) -> Core {
-        let mut core = Core { fence: Fence::restore(seen), most, ..Core::default() };
+        let mut core = Core { fence: Fence::restore(seen), most, most_files: FILES, ..Core::default() };
         for (source, taken, bytes) in files {
             core.bytes += bytes;
             if taken.done && bytes > 0 {
                 core.order.push_back(source.clone());
             }
+            if taken.done {
+                core.done.push_back(source.clone());
+            }
             core.sizes.insert(source.clone(), bytes);
             core.taken.insert(source, taken);
         }
@@ -77,7 +85,7 @@
         }
         let verdict = self.fence.clone_of(duty).announce(duty, epoch);
         let seen = Seen { epoch, number: 0 };
-        let write = Write { duty: duty.clone(), seen, piece: None, forget: Vec::new() };
+        let write = Write { duty: duty.clone(), seen, piece: None, forget: Vec::new(), unknown: None };
         (verdict, (verdict == Verdict::New).then_some(write))
     }
 
@@ -103,10 +111,17 @@
         if taken.done || taken.blocks != piece.place {
             return (Outcome::Elsewhere(taken), None);
         }
-        let known = self.taken.contains_key(&piece.source);
-        if !fit(&piece.source.server) || !fit(&piece.source.file) || (!known && self.taken.len() >= FILES) {
+        if !fit(&piece.source.server) || !fit(&piece.source.file) {
             return (Outcome::Full, None);
         }
+        let mut unknown = None;
+        if !self.taken.contains_key(&piece.source) && self.taken.len() >= self.most_files {
+            // Its server has long removed it by then: a recorder keeps some hundred files.
+            unknown = self.done.front().cloned();
+            if unknown.is_none() {
+                return (Outcome::Full, None);
+            }
+        }
         let mut forget = Vec::new();
         let mut left = self.bytes + bytes;
         for source in &self.order {
@@ -125,6 +140,7 @@
             seen: Seen { epoch, number },
             piece: Some((piece.source.clone(), piece.place, after)),
             forget,
+            unknown,
         };
         (Outcome::Fence(Verdict::New), Some(write))
     }
@@ -136,12 +152,19 @@
             self.bytes -= self.sizes.insert(source.clone(), 0).unwrap_or(0);
             self.order.retain(|one| one != source);
         }
+        if let Some(source) = &write.unknown {
+            self.bytes -= self.sizes.remove(source).unwrap_or(0);
+            self.taken.remove(source);
+            self.order.retain(|one| one != source);
+            self.done.retain(|one| one != source);
+        }
         if let Some((source, _, taken)) = &write.piece {
             *self.sizes.entry(source.clone()).or_default() += bytes;
             self.bytes += bytes;
             self.taken.insert(source.clone(), *taken);
             if taken.done {
                 self.order.push_back(source.clone());
+                self.done.push_back(source.clone());
             }
         }
     }
@@ -226,6 +249,23 @@
         assert_eq!(core.bytes(), 80);
     }
 
+    #[test]
+    fn past_the_number_of_files_the_one_done_first_is_known_no_more() {
+        let mut core = Core::new(1000, [], []);
+        core.most_files = 2;
+        announce(&mut core, 5);
+        for (number, file) in [(1, "a"), (2, "b"), (3, "c")] {
+            assert_eq!(put(&mut core, 5, number, &piece(file, 0, true), 10), NEW);
+        }
+        let names: Vec<&str> = core.files().map(|(source, _)| source.file.as_str()).collect();
+        assert_eq!((names, core.bytes()), (vec!["b", "c"], 20));
+        let mut core = Core::new(1000, [], []);
+        core.most_files = 1;
+        announce(&mut core, 5);
+        assert_eq!(put(&mut core, 5, 1, &piece("a", 0, false), 10), NEW);
+        assert_eq!(put(&mut core, 5, 2, &piece("b", 0, true), 10), Outcome::Full, "a is not whole yet");
+    }
+
     #[test]
     fn names_that_could_be_paths_and_parts_past_the_bound_are_refused() {
         let mut core = Core::new(1000, [], []);
--- a/crates/archive/src/serve.rs
+++ b/crates/archive/src/serve.rs
@@ -3,9 +3,10 @@
 
 use crate::core::{Core, Write};
 use crate::store::{Planted, Store};
-use crate::words::{Answer, Ask, Outcome, LINE};
+use crate::words::{Answer, Ask, Outcome, Source, LINE};
 use base64::prelude::{Engine as _, BASE64_STANDARD};
-use puffinladder_links::{bind, say, Fault, Lines};
+use puffinladder_links::{bind, say, Fault, Lines, Running};
+use puffinladder_owners::assign::part_of;
 use puffinladder_owners::fence::Verdict;
 use puffinladder_owners::words::{Event, Events};
 use std::net::SocketAddr;
@@ -13,7 +14,6 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinHandle;
 
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -37,22 +37,6 @@
     back: oneshot::Sender<Answer>,
 }
 
-pub struct Running {
-    pub listen: SocketAddr,
-    stop: watch::Sender<bool>,
-    desk: JoinHandle<Result<(), String>>,
-}
-
-impl Running {
-    pub async fn ended(&mut self) -> Result<(), String> {
-        (&mut self.desk).await.unwrap_or_else(|e| Err(format!("the archive's thread: {e}")))
-    }
-    pub async fn stop(mut self) -> Result<(), String> {
-        let _ = self.stop.send(true);
-        self.ended().await
-    }
-}
-
 pub async fn start(setup: Setup) -> Result<Running, String> {
     let (mut store, core) = Store::open(&setup.folder, setup.most_bytes).map_err(|e| e.to_string())?;
     store.plant(setup.planted);
@@ -68,7 +52,7 @@
     setup.events.tell(&Event::Ready { listen: listen.to_string() });
     tracing::info!("archive listens on {listen}, {} files known", core.files().count());
     let desk = tokio::task::spawn_blocking(move || work(core, store, heard, setup.events));
-    Ok(Running { listen, stop, desk })
+    Ok(Running::new(listen, stop, desk))
 }
 
 async fn converse(stream: TcpStream, asks: mpsc::Sender<Heard>) -> Result<(), Fault> {
@@ -125,7 +109,7 @@
     ask: Ask,
 ) -> (Answer, Option<Event>) {
     match ask {
-        Ask::Announce { duty, epoch } => {
+        Ask::Announce { duty, epoch, parts } => {
             let (verdict, write) = core.announce(&duty, epoch);
             if let Some(write) = write {
                 core.note(&write, 0);
@@ -133,7 +117,11 @@
                 writes.push((write, Vec::new()));
             }
             let number = core.seen(&duty).number;
-            let taken = core.files().map(|(source, taken)| (source.clone(), *taken));
+            let mine = |source: &Source| part_of(&duty.name, &source.server, parts) == duty.part;
+            let taken = core
+                .files()
+                .filter(|(source, _)| mine(source))
+                .map(|(source, taken)| (source.clone(), *taken));
             let taken = if verdict.stands() { taken.collect() } else { Vec::new() };
             let event = Event::Judged { duty, epoch, number, piece: None, verdict };
             (Answer::Begun { verdict, number, taken }, Some(event))
--- a/crates/archive/src/store.rs
+++ b/crates/archive/src/store.rs
@@ -161,6 +161,11 @@
                 if judged && self.planted != Some(Planted::ForgetsEpochs) {
                     fence.insert((write.duty.name.as_str(), write.duty.part), seen.as_slice())?;
                 }
+                if let Some(Source { server, file }) = &write.unknown {
+                    let (server, file) = (server.as_str(), file.as_str());
+                    blocks.retain_in((server, file, 0)..=(server, file, u64::MAX), |_, _| false)?;
+                    files.remove((server, file))?;
+                }
                 for Source { server, file } in &write.forget {
                     let (server, file) = (server.as_str(), file.as_str());
                     blocks.retain_in((server, file, 0)..=(server, file, u64::MAX), |_, _| false)?;
--- a/crates/archive/src/words.rs
+++ b/crates/archive/src/words.rs
@@ -25,10 +25,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ask {
-    /// An owner shows its epoch before its first effect.
+    /// An owner shows its epoch before its first effect, and of how many parts its own is one: it is told of those files only.
     Announce {
         duty: Duty,
         epoch: Epoch,
+        parts: u32,
     },
     Put {
         duty: Duty,
--- a/crates/cli/tests/line.rs
+++ b/crates/cli/tests/line.rs
@@ -127,3 +127,35 @@
     let out = writer.wait_with_output().unwrap();
     assert!(out.status.success() && out.stderr.is_empty(), "{}", String::from_utf8_lossy(&out.stderr));
 }
+
+#[test]
+fn keepers_stewards_and_archives_say_what_is_wrong_with_file_line_and_key() {
+    let folder = tempfile::tempdir().unwrap();
+    let at = folder.path();
+    let write = |name: &str, text: &str| std::fs::write(at.join(name), text).unwrap();
+    write("none.scm", "(log)");
+    for (command, section) in [("keeper", "keeper"), ("steward", "steward"), ("archive", "archive")] {
+        let said = fails(at, &format!("{command} --settings none.scm"), 2);
+        assert!(said.contains(&format!("none.scm: has no ({section} ...)")), "{said}");
+    }
+    write("wrong.scm", "(keeper (number 1)\n (listen \"here\") (folder \"k\") (peers \"1=127.0.0.1:1\"))");
+    let said = fails(at, "keeper --settings wrong.scm", 2);
+    assert!(said.contains("wrong.scm:2:2: keeper.listen: should be an address"), "{said}");
+    write("k.scm", "(keeper (number 1) (listen \"127.0.0.1:0\") (folder \"k\") (peers \"1=127.0.0.1:1\"))");
+    let said = fails(at, "keeper --settings k.scm", 1);
+    assert!(said.contains("there is no keeper's disk here; found it, or join"), "{said}");
+    write("2.scm", "(keeper (number 2) (listen \"127.0.0.1:0\") (folder \"k\") (peers \"1=127.0.0.1:1\"))");
+    assert!(fails(at, "keeper --settings 2.scm --found", 2).contains("should name keeper 2 itself"));
+    assert!(fails(at, "duties list", 2).contains("--at should name keepers"));
+    // Nobody listens there.
+    assert!(fails(at, "keeper status --at 127.0.0.1:1", 1).contains("no majority"));
+    assert!(fails(at, "duties move gather s1 --at 127.0.0.1:1", 2).contains("such as gather/3"));
+    write("a.scm", "(archive (listen \"127.0.0.1:0\") (folder \"a\"))");
+    assert!(fails(at, "archive export --settings a.scm out.trace", 1).contains("a: there is no archive"));
+    write("p.scm", "(schedule\n (fault (at 1s) (do melt) (who \"s9\")))");
+    let said = fails(at, "prove p.scm", 2);
+    assert!(
+        said.contains("p.scm:2:21: schedule.fault.do") && said.contains("schedule.fault.who: \"s9\""),
+        "{said}"
+    );
+}
--- a/crates/keeper/src/serve.rs
+++ b/crates/keeper/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::members::Change as Turnover;
 use crate::store::Store;
 use base64::prelude::{Engine as _, BASE64_STANDARD};
-use puffinladder_links::{bind, dial, line, say, Clock, Lines};
+use puffinladder_links::{bind, dial, line, say, Clock, Lines, Running};
 use puffinladder_owners::table::{Told, What};
 use puffinladder_owners::words::{Answer, Ask, Event, Events, LINE};
 use puffinladder_owners::Owner;
@@ -21,7 +21,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
 use tokio::time::{interval, MissedTickBehavior};
 
 /// How a keeper is set up.
@@ -57,24 +56,6 @@
     back: mpsc::Sender<Answer>,
 }
 
-pub struct Running {
-    pub listen: SocketAddr,
-    stop: watch::Sender<bool>,
-    desk: JoinHandle<Result<(), String>>,
-}
-
-impl Running {
-    /// Until it ends by itself, which only a fault makes it do.
-    pub async fn ended(&mut self) -> Result<(), String> {
-        (&mut self.desk).await.unwrap_or_else(|e| Err(format!("the keeper's task: {e}")))
-    }
-    /// Ends it, once all that was said to be on disk is there.
-    pub async fn stop(mut self) -> Result<(), String> {
-        let _ = self.stop.send(true);
-        self.ended().await
-    }
-}
-
 /// Starts a keeper from its disk; it listens when this returns.
 pub async fn start(setup: Setup, store: Store, disk: &Disk) -> Result<Running, String> {
     let number = store.id();
@@ -90,7 +71,7 @@
     setup.events.tell(&Event::Ready { listen: listen.to_string() });
     tracing::info!("keeper {number} listens on {listen}");
     let desk = tokio::spawn(Desk::new(setup, core, store).work(heard, stopped));
-    Ok(Running { listen, stop, desk })
+    Ok(Running::new(listen, stop, desk))
 }
 
 /// One connection: what it asks goes to the desk, what comes back is written by a task of its own.
@@ -393,7 +374,9 @@
             tracing::info!("keeper {} leads no more", self.core.id());
             // Instances find the next one sooner than by silence.
             let leader = self.core.leader().filter(|id| *id != self.core.id());
-            for back in std::mem::take(&mut self.instances).into_values() {
+            // Operators' commands have been answered above; what waits still are reads.
+            let waiting = std::mem::take(&mut self.waiting).into_values();
+            for back in std::mem::take(&mut self.instances).into_values().chain(waiting) {
                 let _ = back.try_send(Answer::Elsewhere { leader, address: None });
             }
         }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
+use tokio::task::JoinHandle;
 
 /// How long a connection may take to open.
 pub const OPEN: Duration = Duration::from_millis(500);
@@ -52,16 +53,10 @@
 
     /// The next line; none once the other side has ended, also in the middle of one.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Fault> {
-        loop {
-            let room = (self.most + 1).saturating_sub(self.line.len()) as u64;
-            (&mut self.from).take(room).read_until(b'\n', &mut self.line).await?;
-            if self.line.last() == Some(&b'\n') {
-                break;
-            }
-            if self.line.len() > self.most {
-                return Err(Fault::Long(self.most));
-            }
-            return Ok(None);
+        let room = (self.most + 1).saturating_sub(self.line.len()) as u64;
+        (&mut self.from).take(room).read_until(b'\n', &mut self.line).await?;
+        if self.line.last() != Some(&b'\n') {
+            return if self.line.len() > self.most { Err(Fault::Long(self.most)) } else { Ok(None) };
         }
         self.read += self.line.len() as u64;
         let value = serde_json::from_slice(&self.line).map_err(Fault::Unfit);
@@ -109,6 +104,33 @@
     Ok((listener, at))
 }
 
+/// A service that runs: where it listens, and until when it works.
+pub struct Running {
+    pub listen: SocketAddr,
+    stop: watch::Sender<bool>,
+    desk: JoinHandle<Result<(), String>>,
+}
+
+impl Running {
+    /// `stop` is what its tasks watch, `desk` the one that works until it is stopped or can't go on.
+    pub fn new(
+        listen: SocketAddr,
+        stop: watch::Sender<bool>,
+        desk: JoinHandle<Result<(), String>>,
+    ) -> Running {
+        Running { listen, stop, desk }
+    }
+    /// Until it ends by itself, which only a fault makes it do.
+    pub async fn ended(&mut self) -> Result<(), String> {
+        (&mut self.desk).await.unwrap_or_else(|e| Err(format!("its task: {e}")))
+    }
+    /// Ends it, once what it has said to be on disk is there.
+    pub async fn stop(mut self) -> Result<(), String> {
+        let _ = self.stop.send(true);
+        self.ended().await
+    }
+}
+
 /// Accepts until told to stop. At most `most` connections are open at once; one more is closed as it comes.
 pub async fn serve<F, E>(
     listener: TcpListener,
--- a/crates/owners/src/assign.rs
+++ b/crates/owners/src/assign.rs
@@ -28,6 +28,11 @@
     xxh3_64(&text)
 }
 
+/// Which part of so many of a duty something named belongs to: the same for whoever asks.
+pub fn part_of(duty: &str, name: &str, parts: u32) -> u32 {
+    (rank(duty, 0, name) % u64::from(parts.max(1))) as u32
+}
+
 /// The most parts that one of `among` may have of so many.
 pub fn most(parts: usize, among: usize) -> usize {
     let mean = parts as f64 / among.max(1) as f64;
--- a/crates/owners/src/desk.rs
+++ b/crates/owners/src/desk.rs
@@ -4,7 +4,7 @@
 //! A server sends the same report to all stewards; whoever owns what is asked for answers. So nobody has to know who owns what, and a new owner is
 //! heard as soon as it speaks.
 
-use crate::assign::rank;
+use crate::assign::part_of;
 use crate::quota::{self, Part, Parts, Share};
 use crate::turns::{self, Go, Leaver, State, Turn, Turns};
 use crate::{Duty, Epoch};
@@ -90,7 +90,7 @@
 
     /// Which part of the duty a customer's quota belongs to.
     pub fn part_of(&self, customer: &str) -> u32 {
-        (rank(QUOTA, 0, customer) % u64::from(self.told.parts.max(1))) as u32
+        part_of(QUOTA, customer, self.told.parts)
     }
 
     /// A grant begins: nothing of an earlier one is known any more.
@@ -165,23 +165,25 @@
     /// One step of a duty: what goes to whom. It is to be sent at once.
     pub fn plan(&mut self, now: f64, duty: &Duty) -> Vec<Reply> {
         let mut replies: BTreeMap<String, Reply> = BTreeMap::new();
-        let mut given: Vec<(String, Option<(String, Part)>, Option<Turn>)> = Vec::new();
+        let lives = &self.lives;
+        // Servers that were never heard by this desk have no life that an answer could be for.
+        let mut to = |server: String, put: &mut dyn FnMut(&mut Reply)| {
+            if let Some(incarnation) = lives.get(&server).copied() {
+                let fresh = Reply { server: server.clone(), incarnation, ..Reply::default() };
+                put(replies.entry(server).or_insert(fresh));
+            }
+        };
         if duty.name == TURNS {
-            let turns = self.turns.iter_mut().flat_map(|(_, turns)| turns.plan(now));
-            given.extend(turns.map(|(server, turn)| (server, None, Some(turn))));
+            for (server, turn) in self.turns.iter_mut().flat_map(|(_, turns)| turns.plan(now)) {
+                to(server, &mut |reply| reply.turn = Some(turn.clone()));
+            }
         } else if let Some((_, all)) = self.quota.get_mut(&duty.part).filter(|_| duty.name == QUOTA) {
             for (customer, parts) in all {
-                let parts = parts.plan(now).into_iter();
-                given.extend(parts.map(|(server, part)| (server, Some((customer.clone(), part)), None)));
+                for (server, part) in parts.plan(now) {
+                    to(server, &mut |reply| reply.parts.push((customer.clone(), part.clone())));
+                }
             }
         }
-        for (server, part, turn) in given {
-            let Some(incarnation) = self.lives.get(&server).copied() else { continue };
-            let reply =
-                replies.entry(server.clone()).or_insert(Reply { server, incarnation, ..Reply::default() });
-            reply.parts.extend(part);
-            reply.turn = turn.or(reply.turn.take());
-        }
         replies.into_values().collect()
     }
 
--- a/crates/owners/src/route.rs
+++ b/crates/owners/src/route.rs
@@ -91,7 +91,7 @@
         (self.hints, self.failed) = (0, self.failed + 1);
         let mut others = self.keepers.keys().copied().cycle().skip_while(|number| *number != self.to);
         self.to = others.nth(1).unwrap_or(self.to);
-        if self.failed % self.keepers.len().max(1) == 0 {
+        if self.failed.is_multiple_of(self.keepers.len().max(1)) {
             let longest = (3.0 * self.pause).min(MOST);
             self.pause = FIRST + (longest - FIRST) * self.chance.unit();
             self.not_before = now + self.pause;
--- a/crates/proving/src/check.rs
+++ b/crates/proving/src/check.rs
@@ -168,18 +168,28 @@
         then: f64,
         anew: f64,
     }
-    let mut all: Vec<(f64, &str, u32, f64, f64, Option<f64>)> = Vec::new();
+    /// One event: when, whose, in which life.
+    struct Told<'a> {
+        at: f64,
+        who: &'a str,
+        life: u32,
+        rate: f64,
+        equal: f64,
+        until: Option<f64>,
+    }
+    let mut all: Vec<Told> = Vec::new();
     for (entry, event) in history.told() {
         if let Event::Goes { rate, equal, at, until, .. } = event {
             counts.parts += u64::from(until.is_some());
-            all.push((*at, &entry.who, entry.life, *rate, *equal, *until));
+            let (at, rate, equal, until) = (*at, *rate, *equal, *until);
+            all.push(Told { at, who: &entry.who, life: entry.life, rate, equal, until });
         }
     }
-    all.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let begun = all.first().map_or(0.0, |first| first.0);
+    all.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let begun = all.first().map_or(0.0, |first| first.at);
     let mut now: BTreeMap<&str, Goes> = BTreeMap::new();
     let mut lives: BTreeMap<&str, u32> = BTreeMap::new();
-    for (at, who, life, rate, equal, until) in all {
+    for Told { at, who, life, rate, equal, until } in all {
         let restarted = lives.insert(who, life).is_some_and(|before| before < life);
         let until = until.unwrap_or(f64::MAX);
         let before = now.get(who).map_or(f64::MIN, |goes| goes.anew);
--- a/crates/steward/src/gather.rs
+++ b/crates/steward/src/gather.rs
@@ -2,7 +2,7 @@
 //! archive has taken, and what could not be read before.
 
 use puffinladder_archive::words::{Source, Taken};
-use puffinladder_owners::assign::rank;
+use puffinladder_owners::assign;
 use std::collections::BTreeMap;
 
 /// s until a file that could not be read is tried again, doubled each time up to the most.
@@ -11,9 +11,9 @@
 /// Files that are remembered as unreadable at the most; past that the rest waits for the next look.
 const TROUBLES: usize = 10_000;
 
-/// Which part of so many a server's files belong to: the same for whoever asks.
+/// Which part of so many a server's files belong to.
 pub fn part_of(server: &str, parts: u32) -> u32 {
-    (rank("gather", 0, server) % u64::from(parts.max(1))) as u32
+    assign::part_of("gather", server, parts)
 }
 
 /// A file that lies in a server's folder.
--- a/crates/steward/src/haul.rs
+++ b/crates/steward/src/haul.rs
@@ -159,12 +159,10 @@
         let stream = dial(at).await.map_err(|e| format!("the archive at {at}: {e}"))?;
         let (from, to) = stream.into_split();
         let mut line = Line { from: Lines::new(from, 64 << 20), to };
-        let ask = Ask::Announce { duty: self.duty.clone(), epoch: self.epoch };
+        let ask = Ask::Announce { duty: self.duty.clone(), epoch: self.epoch, parts: self.told.parts };
         match converse(&mut line, &ask).await? {
             Answer::Begun { verdict, number, taken } if verdict.stands() => {
-                let (parts, part) = (self.told.parts, self.duty.part);
-                let mine = |(source, _): &(Source, Taken)| part_of(&source.server, parts) == part;
-                self.plan.begin(taken.into_iter().filter(mine));
+                self.plan.begin(taken);
                 (self.number, self.line, self.looked) = (number, Some(line), f64::MIN);
                 Ok(true)
             }
