--- a/crates/proving/src/picture.rs
+++ b/crates/proving/src/picture.rs
@@ -119,10 +119,14 @@
         }
         for (who, stretches) in &faults {
             area.draw(&Text::new(who.clone(), (8, y(row) + 2), small.clone()))?;
+            let mut free = left;
             for (from, until, what) in stretches {
                 let bar = [(x(*from), y(row) + 2), (x(*until).max(x(*from) + 2), y(row) + LINE as i32 - 2)];
                 area.draw(&Rectangle::new(bar, RED.mix(0.3).filled()))?;
-                area.draw(&Text::new(what.clone(), (x(*from) + 2, y(row) + 2), small.clone()))?;
+                // Words of faults that overlap stand behind each other.
+                let word = (x(*from) + 2).max(free);
+                free = word + 6 * what.len() as i32 + 6;
+                area.draw(&Text::new(what.clone(), (word, y(row) + 2), small.clone()))?;
             }
             row += 1;
         }
