Read over: one way to ask a service one thing, one reckoning of a quantile

Seen in reading the change: the command line and the proving ground each opened a connection to ask one thing, and drawn schedules reckoned their median apart from measure::quantile (which rounds the place up). Change: links::ask serves both, quantile is called, a comment on Schedule::with says what it does.

--- a/crates/cli/src/fleet/mod.rs
+++ b/crates/cli/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::say::{Done, Wrong};
 use puffinladder_archive::store::Planted;
-use puffinladder_links::{dial, say, Clock, Lines};
+use puffinladder_links::Clock;
 use puffinladder_owners::words::Events;
 use serde::{de::DeserializeOwned, Serialize};
 use std::net::SocketAddr;
@@ -39,11 +39,8 @@
 
 /// Asks a service one thing.
 pub async fn ask<A: Serialize, B: DeserializeOwned>(at: SocketAddr, ask: &A) -> Result<B, String> {
-    let named = |what: String| format!("{at}: {what}");
-    let mut stream = dial(at).await.map_err(|e| named(e.to_string()))?;
-    say(&mut stream, ask, WAIT).await.map_err(|e| named(e.to_string()))?;
-    let answer = Lines::new(stream, LONGEST).within(WAIT).await.map_err(|e| named(e.to_string()))?;
-    answer.ok_or_else(|| named("closed without an answer".into()))
+    let answer = puffinladder_links::ask(at, ask, WAIT, LONGEST).await.map_err(|e| format!("{at}: {e}"))?;
+    answer.ok_or_else(|| format!("{at}: closed without an answer"))
 }
 
 fn failed(what: String) -> Wrong {
--- a/crates/cli/src/prove/mod.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -12,6 +12,7 @@
 use puffinladder_owners::words::Events;
 use puffinladder_proving::check::Counts;
 use puffinladder_proving::ground::{play, Run, Setup};
+use puffinladder_proving::measure::quantile;
 use puffinladder_proving::picture;
 use puffinladder_proving::process::Program;
 use puffinladder_proving::schedule::Schedule;
@@ -260,14 +261,8 @@
     })?;
     shown.finish_and_clear();
     owned.sort_by(f64::total_cmp);
-    let at = |share: f64| {
-        owned
-            .get(((owned.len() as f64 * share) as usize).min(owned.len().saturating_sub(1)))
-            .copied()
-            .unwrap_or(0.0)
-    };
     println!("{count} schedules from seed {seed}: {}", sum(&counts, rows));
-    println!("all owned again {:.2} s after the last fault in the median, {:.2} at p99; the ground was late by {late:.3} s at the most", at(0.5), at(0.99));
+    println!("all owned again {:.2} s after the last fault in the median, {:.2} at p99; the ground was late by {late:.3} s at the most", quantile(&owned, 0.5), quantile(&owned, 0.99));
     if bad.is_empty() {
         return Ok(());
     }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -96,6 +96,18 @@
     Ok(stream)
 }
 
+/// Asks a service one thing, on a connection of its own; each of opening, asking and answering within `wait` at the most.
+pub async fn ask<A: Serialize, B: DeserializeOwned>(
+    at: SocketAddr,
+    what: &A,
+    wait: Duration,
+    longest: usize,
+) -> Result<Option<B>, Fault> {
+    let mut stream = dial(at).await?;
+    say(&mut stream, what, wait).await?;
+    Lines::new(stream, longest).within(wait).await
+}
+
 /// Listens, and says where: port 0 gets one from the system.
 pub async fn bind(what: &str, at: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
     let named = |e: std::io::Error| std::io::Error::other(format!("{what} {at}: {e}"));
--- a/crates/proving/src/ground.rs
+++ b/crates/proving/src/ground.rs
@@ -11,7 +11,6 @@
 use crate::schedule::{Fault, Schedule, Way, What, Who};
 use puffinladder_archive::store::Planted;
 use puffinladder_archive::words as archive;
-use puffinladder_links::{dial, say, Lines};
 use puffinladder_owners::table::{Command, Row};
 use puffinladder_owners::words::{Answer, Ask, Event};
 use serde::{de::DeserializeOwned, Serialize};
@@ -837,12 +836,8 @@
 /// Asks one process one thing, within a bound.
 pub async fn ask<A: Serialize, B: DeserializeOwned>(at: SocketAddr, what: &A) -> Option<B> {
     let wait = Duration::from_secs(1);
-    let asked = async {
-        let mut stream = dial(at).await.ok()?;
-        say(&mut stream, what, wait).await.ok()?;
-        Lines::new(stream, 64 << 20).next().await.ok().flatten()
-    };
-    tokio::time::timeout(wait, asked).await.ok().flatten()
+    let asked = puffinladder_links::ask(at, what, wait, 64 << 20);
+    tokio::time::timeout(wait, asked).await.ok()?.ok().flatten()
 }
 
 /// Asks the keepers until one that leads answers.
--- a/crates/proving/src/schedule.rs
+++ b/crates/proving/src/schedule.rs
@@ -245,7 +245,7 @@
         keepers.chain([Who::Archive]).chain(stewards).chain((1..=self.seats).map(Who::Seat)).collect()
     }
 
-    /// Whether a part of it can be left out without making it another kind of schedule.
+    /// The same with other faults.
     pub fn with(&self, faults: Vec<Fault>) -> Schedule {
         Schedule { faults, ..self.clone() }
     }
