Connections end with FIN and nothing unsent, late repeats never run, 16 descriptors kept

Each fault was forced over real connections or through the coroutine that has it, and seen red with the fix taken out again:

- gateway.rs, make_room and tidy set `closed` from outside; `talk` then read once more, took the request, and closed on it: begun here, and sent once more elsewhere by its gateway, so that a once-only one could run twice.
Now a wish (`parting`) that only the connection's coroutine carries out, behind its last read; who got work stays.
- `serve` dropped the stream: unread bytes reset it, and answers on their way went with it; on a broken message those still in the buffer were never written.
Now they go out, FIN follows, and what comes is read for 1 s and 256 KB.
- an unfinished message closed its connection after 2 s on the answers owed there.
Now they go out first.
- life/mod.rs ended the process over open connections.
Now `0 goaway` 250 ms and FIN 50 ms before the kill.
- keys.rs forgot a key 2 s behind its window, whatever the expiry: a repeat stamped within the window and read later than that ran again.
Now the longest expiry.
A txn that broke off unremembered held up the ends of all other keys.
- store.rs sent a call that was given up while it connected, and a huge expiry made `Duration` panic in the call's coroutine, whose txn then heard nothing more.
- limits.rs gave 64 descriptors away to the last one; seats, store and own links together wanted 70.
Now 16 are kept.

--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -124,18 +124,27 @@
     let notice = move || heed(&told, &papers, signals);
     let watch = thread::Builder::new().name("signals".into()).stack_size(limits.stack_thread);
     watch.spawn(notice).map_err(|e| format!("no thread: {e}"))?;
-    let mut closed = false;
+    let (mut asked, mut closed) = (false, false);
     loop {
         house.alarm.wait(house.limits.chores);
         house.desk.ring();
         let Some(kill) = house.desk.kill() else { continue };
         let now = house.clock.now();
-        // All answers are out by now. Whoever keeps books closes them, so that none are open at the kill.
+        // Whoever comes behind the farewell comes on a new connection, and finds this one still answering.
+        if !asked && now > kill - limits.farewell {
+            asked = true;
+            house.gateways.goodbye(&house);
+        }
+        // All answers are out by now. What the end of the process cut off would be reset, and answers with it.
+        if now > kill - limits.last_close {
+            house.gateways.part_all();
+        }
+        // Whoever keeps books closes them, so that none are open at the kill.
         if recording.is_some() && !closed && now > kill - limits.closing {
             closed = true;
             house.desk.close();
         }
-        if now > kill - limits.closing / 2.0 && closed || now > kill {
+        if now > kill - limits.closing / 2.0 && (closed || recording.is_none()) {
             if let Some(recording) = recording {
                 recording.end(limits.seal);
             }
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -1,13 +1,19 @@
 //! Every size, count and time of the process in one place. These are properties of the program; what is
 //! taken, run and turned away is the module's business.
 
+use puffinladder::Effect;
 use puffinladder_charter::Warrant;
 use std::time::Duration;
 
+/// Descriptors that the process holds for itself: 10 beside its links (`tests/process.rs` counts them), two links to the
+/// agent while one replaces the other, a report and a connection that is being accepted, and two to spare.
+const OWN_DESCRIPTORS: usize = 16;
+
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Connections of gateways held at once: the half of the descriptors that they may take, and an eighth for
-    /// those of others. One more makes the idlest go; those on their way out may be so many.
+    /// those of others. One more makes the idlest go; those on their way out may be so many, and so many that were to
+    /// go and got work meanwhile.
     pub gateways: usize,
     pub outgoing: usize,
     /// Connections to the store.
@@ -40,7 +46,8 @@
     /// By how much two stamps, which are whole milliseconds, may lie nearer than their txns: a key holds that
     /// much past its window.
     pub key_grain: f64,
-    /// How long past that a key stays known: a try may lie unread that long.
+    /// How long past that a key stays known: a try that came within the window may lie unread until it is due, and
+    /// would run as a new one if its key were forgotten by then.
     pub key_over: f64,
     /// How long one waits for a key that another of other content holds.
     pub doubt: f64,
@@ -84,20 +91,36 @@
     pub checks_idle: f64,
     /// How long a gateway may take to close what it was asked to leave.
     pub goodbye: f64,
+    /// How long, and for how many bytes, a connection that was ended from here is read to its end.
+    pub parting: f64,
+    pub parting_bytes: usize,
+    /// How long before the kill gateways are asked to leave, and when all answers are out, connections are ended.
+    pub farewell: f64,
+    pub last_close: f64,
     /// How long before the kill, when all answers are out, books are closed; how long a trace may take to seal.
     pub closing: f64,
     pub seal: Duration,
 }
 
+/// The longest that a txn with a key may lie unread and yet be run: until its expiry.
+fn longest_unread(warrant: &Warrant) -> f64 {
+    let products = warrant.terms.charter.products.iter();
+    products.filter(|p| p.effect == Effect::Referenced).map(|p| p.expiry).fold(0.0, f64::max)
+}
+
 impl Limits {
     pub fn new(warrant: &Warrant) -> Limits {
         let (sockets, memory) = (warrant.sockets, (warrant.memory_mb * 1048576.0) as usize);
-        // Descriptors: five eighths to the gateways, a quarter to the store, the rest to the agent, the roster,
-        // the listener, the log, the event loop and to connections that are on their way out.
+        // Descriptors: those that the process can't do without are nobody else's, however many connect: standard
+        // streams, pipe, listener, event loop, the agent's link and the one that replaces it, a report, the one that is
+        // being accepted. Of the others a quarter is the store's and five eighths are the gateways'.
+        let store = sockets.saturating_sub(OWN_DESCRIPTORS) / 4;
+        let outgoing = (sockets / 32).max(1);
+        let rest = sockets.saturating_sub(OWN_DESCRIPTORS + store + 2 * outgoing);
         Limits {
-            gateways: sockets * 5 / 8,
-            outgoing: sockets / 32,
-            store: sockets / 4,
+            gateways: (sockets * 5 / 8).min(rest).max(1),
+            outgoing,
+            store: store.max(1),
             // Each may touch its whole stack and hold a body: at most 45% of the memory.
             txns: (memory * 45 / 100 / (32768 + 4096)).max(64),
             open: 32,
@@ -115,7 +138,7 @@
             keys: memory / 12 / 256,
             results: memory / 8,
             key_grain: 0.002,
-            key_over: 2.0,
+            key_over: longest_unread(warrant),
             doubt: 1.0,
             buffer: 4096,
             stack: 4096,
@@ -138,6 +161,10 @@
             usual_spans: 4.0,
             checks_idle: 30.0,
             goodbye: 2.0,
+            parting: 1.0,
+            parting_bytes: 1 << 18,
+            farewell: 0.25,
+            last_close: 0.05,
             closing: 0.04,
             seal: Duration::from_millis(200),
         }
--- a/crates/server/src/memory/keys.rs
+++ b/crates/server/src/memory/keys.rs
@@ -109,6 +109,11 @@
     /// A run is over, with a result or without.
     pub fn ran(&mut self, key: &Key, id: u32, result: Option<Arc<Vec<u8>>>) {
         let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.id == id) else { return };
+        // Nothing runs before its key is remembered, so this one broke off before it began. Held without an end, it
+        // would hold up the ends of all that come behind it.
+        if entry.until == f64::MAX {
+            entry.until = f64::MIN;
+        }
         let course = match &result {
             Some(body) => Course::Settled(body.clone()),
             None => Course::Void,
--- a/crates/server/src/memory/keys/tests.rs
+++ b/crates/server/src/memory/keys/tests.rs
@@ -97,3 +97,18 @@
     keys.expire(153.0);
     assert_eq!((keys.entries.len(), keys.results.len(), keys.kept), (0, 0, 0));
 }
+
+#[test]
+fn a_try_that_broke_off_before_it_was_remembered_holds_up_no_other_key() {
+    let (mut keys, slip) = (keys(), Arc::new(Slip::default()));
+    keys.read(KEY, 5, 1, 100.0);
+    keys.replay(&KEY, 5, &slip);
+    keys.ran(&KEY, 1, None);
+    assert_eq!(heard(&slip), None);
+    keys.read([2; 32], 5, 2, 100.0);
+    keys.remember(&[2; 32], 2, 150.0);
+    keys.ran(&[2; 32], 2, result(b"two"));
+    keys.expire(153.0);
+    assert_eq!((keys.entries.len(), keys.ends.len(), keys.kept), (0, 0, 0));
+    assert_eq!(keys.read(KEY, 5, 3, 153.0), Holder::Nobody, "it never ran");
+}
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::resp::{self, Array};
 use super::ring::{Filled, Ring};
+use crate::life::chores::Chores;
 use crate::life::House;
 use crate::lock::lock;
 use crate::memory::hands::{Slip, Word};
@@ -9,7 +10,9 @@
 use may::coroutine;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io::{self, Read};
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -17,6 +20,10 @@
 #[derive(Default)]
 pub struct Gateways {
     outlets: Mutex<HashMap<usize, Arc<Outlet>>>,
+    /// Those that no longer have a seat: ended from here and read to their end, oldest first.
+    parting: Mutex<VecDeque<Arc<Outlet>>>,
+    /// Where the listener waits for a seat.
+    room: Chores,
     unsent: AtomicUsize,
 }
 
@@ -30,7 +37,10 @@
     out: Ring,
     open: HashMap<u64, Arc<Slip>>,
     tags: Tags,
+    /// Nothing more is taken or written.
     closed: bool,
+    /// It is to close, unless something comes on it before its coroutine has looked.
+    parting: bool,
     /// When it was asked to be left, and when it was last in use.
     leaving: Option<f64>,
     used: f64,
@@ -39,9 +49,20 @@
     messages: u32,
     /// Since when a message is unfinished; the first one is from the start.
     unfinished: Option<f64>,
+    /// Whether a part of a message has been read.
+    part: bool,
     checks: bool,
 }
 
+/// How a conversation that broke no rule ended.
+#[derive(PartialEq, Eq)]
+enum End {
+    /// The gateway ended it, or it reads nothing: there is nobody to part from.
+    Gone,
+    /// It is closed from here, with nothing owed on it.
+    Parts,
+}
+
 impl Counter {
     /// What a read brought: some whole messages, and nothing else or a part of the next.
     fn progress(&mut self, whole: u32, empty: bool, now: f64) {
@@ -52,6 +73,7 @@
         if !empty {
             self.unfinished.get_or_insert(now);
         }
+        self.part = !empty;
     }
 
     /// How long it may lie unused, where those do `keep` that came once: one that came again and again is likely
@@ -65,9 +87,10 @@
         keep.max(usual.min(house.warrant.terms.charter.idle)).max(least)
     }
 
-    /// Whether it may be closed without harm: nothing on it is owed an answer or has yet to be read.
+    /// Whether it may be closed without harm: nothing on it is owed an answer, has yet to be written or is half read.
+    /// Half of a first message spares nobody, or those who never end one would hold their seats.
     fn idle(&self) -> bool {
-        !self.closed && self.open.is_empty() && self.out.is_empty()
+        !self.closed && self.open.is_empty() && self.out.is_empty() && !(self.part && self.messages > 0)
     }
 }
 
@@ -102,11 +125,13 @@
             open: HashMap::new(),
             tags: Tags::default(),
             closed: false,
+            parting: false,
             leaving: None,
             used: now,
             since: now,
             messages: 0,
             unfinished: Some(now),
+            part: false,
             checks: false,
         };
         Outlet { counter: Mutex::new(counter), waker: stream.waker() }
@@ -146,6 +171,14 @@
         self.write(house, &mut counter, &[&number, word.as_bytes(), fields, body]);
     }
 
+    /// Writes what the gateway takes now; whether that was all.
+    fn flush(&self, house: &House, counter: &mut Counter, stream: &TcpStream) -> io::Result<bool> {
+        let before = counter.out.len();
+        let written = counter.out.drain_to(stream.inner());
+        house.gateways.unsent.fetch_sub(before - counter.out.len(), Ordering::Relaxed);
+        written
+    }
+
     fn write(&self, house: &House, counter: &mut Counter, elements: &[&[u8]]) {
         let mut bytes = Vec::with_capacity(64 + elements.iter().map(|e| e.len() + 12).sum::<usize>());
         resp::write(&mut bytes, elements);
@@ -186,12 +219,36 @@
                 Some(since)
                     if now - since > house.limits.goodbye && now - counter.used > house.limits.goodbye =>
                 {
-                    counter.closed = true;
+                    counter.parting = true;
                     outlet.waker.wakeup();
                 }
                 _ => {}
             }
         }
+        lock(&self.parting).iter().for_each(|outlet| outlet.waker.wakeup());
+        self.room.ring();
+    }
+
+    /// Asks all connections on which nothing is owed to be left: the process ends soon.
+    pub fn goodbye(&self, house: &House) {
+        for outlet in self.lock().values() {
+            let mut counter = outlet.lock();
+            if counter.idle() && counter.leaving.is_none() {
+                counter.leaving = Some(house.clock.now());
+                outlet.write(house, &mut counter, &[b"0", b"goaway"]);
+            }
+        }
+    }
+
+    /// Ends all connections on which nothing is owed, so that none is cut off by the end of the process.
+    pub fn part_all(&self) {
+        for outlet in self.lock().values() {
+            let mut counter = outlet.lock();
+            if counter.idle() && !counter.parting {
+                counter.parting = true;
+                outlet.waker.wakeup();
+            }
+        }
     }
 
     /// Closes the connection that can best be done without: one that has said nothing yet, else one that came
@@ -201,16 +258,32 @@
         let outlets = self.lock();
         let idle = outlets.values().filter_map(|outlet| {
             let counter = outlet.lock();
-            counter.idle().then(|| (counter.messages.min(2), counter.used, outlet))
+            let free = counter.idle() && !counter.parting;
+            free.then(|| (counter.messages.min(2), counter.used, outlet))
         });
         let Some((.., outlet)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) else {
             return false;
         };
-        outlet.lock().closed = true;
+        outlet.lock().parting = true;
         outlet.waker.wakeup();
         true
     }
 
+    /// A connection has lost its seat. Those that part longest make way: descriptors are for who comes with work.
+    fn parts(&self, outlet: &Arc<Outlet>, most: usize) {
+        let mut parting = lock(&self.parting);
+        parting.push_back(outlet.clone());
+        while parting.len() > most {
+            let Some(oldest) = parting.pop_front() else { return };
+            oldest.waker.wakeup();
+        }
+    }
+
+    /// Whether a connection may go on parting.
+    fn parting(&self, outlet: &Arc<Outlet>) -> bool {
+        lock(&self.parting).iter().any(|other| Arc::ptr_eq(other, outlet))
+    }
+
     pub fn count(&self) -> usize {
         self.lock().len()
     }
@@ -229,7 +302,9 @@
             Ok((stream, _)) => {
                 serial += 1;
                 let _ = stream.set_nodelay(true);
-                if house.gateways.count() >= house.limits.gateways && !house.gateways.make_room() {
+                // One that was to make room may have got work meanwhile, so that there are a few over the seats.
+                let over = house.gateways.count().saturating_sub(house.limits.gateways - 1);
+                if over > house.limits.outgoing || over > 0 && !house.gateways.make_room() {
                     house.tally.complain(
                         house,
                         format_args!("gateway: no seat for a new connection, all are at work"),
@@ -240,10 +315,11 @@
                 house.gateways.lock().insert(serial, outlet.clone());
                 let seat = Seat { house: house.clone(), outlet, serial };
                 may::go!(move || serve(&seat, &stream));
-                // The new one is read, and the one that made room is gone, before the next comes.
+                // The new one is read, and the one that made room has ended or got work, before the next comes: whoever
+                // only yields here goes first again, and none of them would get to run.
                 coroutine::yield_now();
-                while house.gateways.count() >= house.limits.gateways + house.limits.outgoing {
-                    house.chores.wait();
+                if house.gateways.count() > house.limits.gateways {
+                    house.gateways.room.wait();
                 }
             }
             Err(e) => {
@@ -263,25 +339,79 @@
     serial: usize,
 }
 
+impl Seat {
+    /// Frees the seat: nothing more is taken or owed here.
+    fn leave(&self) {
+        if self.house.gateways.lock().remove(&self.serial).is_some() {
+            self.house.gateways.room.ring();
+        }
+        let mut counter = self.outlet.lock();
+        counter.closed = true;
+        counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
+    }
+
+    /// Ends the connection: what is written goes out, then FIN, and what still comes is read and passed over for a
+    /// while. Closed over unread bytes it would be reset, and the reset overtakes answers that are on their way. What
+    /// is passed over was never taken: its gateway sends it once more.
+    fn part(&self, stream: &TcpStream) {
+        let (house, outlet) = (&*self.house, &self.outlet);
+        self.leave();
+        // At the end of the process all part together, and nobody comes who would need their descriptors.
+        let most = if house.desk.kill().is_some() { usize::MAX } else { house.limits.outgoing };
+        house.gateways.parts(outlet, most);
+        let (until, mut left) = (house.clock.now() + house.limits.parting, house.limits.parting_bytes);
+        let mut ended = false;
+        loop {
+            if !ended {
+                match outlet.flush(house, &mut outlet.lock(), stream) {
+                    Ok(true) => ended = stream.shutdown(Shutdown::Write).is_ok(),
+                    Ok(false) => {}
+                    Err(_) => return,
+                }
+            }
+            let mut bytes = [0; 1024];
+            match stream.inner().read(&mut bytes) {
+                Ok(0) => return,
+                Ok(count) if count < left => {
+                    left -= count;
+                    continue;
+                }
+                Ok(_) => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+            if house.clock.now() > until || !house.gateways.parting(outlet) {
+                return;
+            }
+            stream.wait_io();
+        }
+    }
+}
+
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.house.gateways.lock().remove(&self.serial);
+        self.leave();
+        lock(&self.house.gateways.parting).retain(|other| !Arc::ptr_eq(other, &self.outlet));
         let mut counter = self.outlet.lock();
-        counter.closed = true;
         self.house.gateways.unsent.fetch_sub(counter.out.len(), Ordering::Relaxed);
         counter.out = Ring::new(1, 1);
-        counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
     }
 }
 
 fn serve(seat: &Seat, stream: &TcpStream) {
-    if let Err(what) = talk(&seat.house, stream, &seat.outlet) {
-        seat.house.tally.complain(&seat.house, format_args!("gateway: a connection closed: {what}"));
+    match talk(&seat.house, stream, &seat.outlet) {
+        Ok(End::Gone) => {}
+        Ok(End::Parts) => seat.part(stream),
+        Err(what) => {
+            seat.house.tally.complain(&seat.house, format_args!("gateway: a connection closed: {what}"));
+            seat.part(stream);
+        }
     }
 }
 
 /// Reads and writes until the connection ends; an error says what the gateway did wrong.
-fn talk(house: &Arc<House>, stream: &TcpStream, outlet: &Arc<Outlet>) -> Result<(), String> {
+fn talk(house: &Arc<House>, stream: &TcpStream, outlet: &Arc<Outlet>) -> Result<End, String> {
     let mut input = Ring::new(house.limits.buffer, 2 * house.limits.message);
     loop {
         let mut count = 0;
@@ -307,15 +437,18 @@
             }
         };
         let mut counter = outlet.lock();
-        let before = counter.out.len();
-        let written = counter.out.drain_to(stream.inner());
-        house.gateways.unsent.fetch_sub(before - counter.out.len(), Ordering::Relaxed);
+        let written = outlet.flush(house, &mut counter, stream);
         if ended || counter.closed || written.is_err() {
-            return Ok(());
+            return Ok(End::Gone);
+        }
+        // Only now that all that has come is read: a request that crossed the wish to close is served.
+        if !more && std::mem::take(&mut counter.parting) && counter.idle() {
+            counter.closed = true;
+            return Ok(End::Parts);
         }
-        // All that has come is read: what is unfinished now has had its time.
+        // All that has come is read: what is unfinished now has had its time. Answers that are owed go out first.
         let late = |since| house.clock.now() - since > house.limits.message_wait;
-        if !more && counter.unfinished.is_some_and(late) {
+        if !more && counter.open.is_empty() && counter.unfinished.is_some_and(late) {
             return Err(if input.is_empty() { "no first message" } else { "an unfinished message" }.into());
         }
         drop(counter);
@@ -332,6 +465,10 @@
     let tag = resp::decimal(array.at(1)).filter(|&tag| tag > 0);
     let tag = tag.ok_or("a tag that is no number from 1 up")?;
     let mut counter = outlet.lock();
+    // What stands behind the message at which it was cut off is not taken: its answer could not go out.
+    if counter.closed {
+        return Ok(());
+    }
     counter.used = house.clock.now();
     match array.at(0) {
         b"CANCEL" => {
--- a/crates/server/src/wire/gateway/tests.rs
+++ b/crates/server/src/wire/gateway/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::io::Write;
 
 #[test]
 fn where_all_together_leave_too_much_unread_only_those_close_that_leave_much() {
@@ -56,3 +57,70 @@
     }
     assert!(tags.take(5, 8) && !tags.take(1, 8) && tags.above.len() <= 8);
 }
+
+/// A connection with a seat, as the listener would have made it, and the gateway's end of it.
+fn seated() -> (Arc<House>, Seat, TcpStream, std::net::TcpStream) {
+    let example = puffinladder_toy::town::EXAMPLE.as_bytes();
+    let house =
+        House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let gateway = listener.accept().unwrap().0;
+    gateway.set_read_timeout(Some(puffinladder_toy::PATIENCE)).unwrap();
+    let outlet = Arc::new(Outlet::new(&house, &stream));
+    house.gateways.lock().insert(1, outlet.clone());
+    let seat = Seat { house: house.clone(), outlet, serial: 1 };
+    (house, seat, stream, gateway)
+}
+
+fn request() -> Vec<u8> {
+    let fields = b"i=00000000000000aa,s=1764576000123,t=acme,m=1";
+    puffinladder_toy::gateway::message(&[b"CALL", b"7", b"quote", fields, b"body"])
+}
+
+#[test]
+fn a_request_that_crosses_the_wish_to_close_its_connection_is_taken_and_answered() {
+    let (house, seat, stream, mut gateway) = seated();
+    let outlet = seat.outlet.clone();
+    // The wish, then the request, then the first look: a request that is read and then closed on would be lost, and
+    // one that must not run twice would run here and where its gateway sends it once more.
+    assert!(house.gateways.make_room());
+    gateway.write_all(&request()).unwrap();
+    let serving = may::go!(move || serve(&seat, &stream));
+    while outlet.lock().open.is_empty() && house.gateways.count() > 0 {
+        std::thread::yield_now();
+    }
+    outlet.answer(&house, 7, "200", b"", b"result");
+    let wanted = b"*4\r\n$1\r\n7\r\n$3\r\n200\r\n$0\r\n\r\n$6\r\nresult\r\n";
+    let mut got = vec![0; wanted.len()];
+    gateway.read_exact(&mut got).unwrap();
+    assert_eq!(got, wanted);
+    drop(gateway);
+    serving.join().unwrap();
+}
+
+#[test]
+fn what_comes_behind_the_end_of_a_connection_is_never_taken_and_resets_nothing() {
+    let (house, seat, stream, mut gateway) = seated();
+    assert!(house.gateways.make_room());
+    let serving = may::go!(move || serve(&seat, &stream));
+    let mut bytes = [0; 16];
+    assert_eq!(gateway.read(&mut bytes).unwrap(), 0, "its end is said first");
+    for _ in 0..3 {
+        gateway.write_all(&request()).unwrap();
+    }
+    gateway.shutdown(Shutdown::Write).unwrap();
+    serving.join().unwrap();
+    assert_eq!(gateway.read(&mut bytes).unwrap(), 0, "no reset");
+    assert_eq!((house.living.count(), house.gateways.count()), (0, 0));
+}
+
+#[test]
+fn connections_that_part_are_few_and_the_longest_makes_way() {
+    let (house, seat, ..) = seated();
+    let (_, other, ..) = seated();
+    house.gateways.parts(&seat.outlet, 1);
+    assert!(house.gateways.parting(&seat.outlet));
+    house.gateways.parts(&other.outlet, 1);
+    assert!(!house.gateways.parting(&seat.outlet) && house.gateways.parting(&other.outlet));
+}
--- a/crates/server/src/wire/store.rs
+++ b/crates/server/src/wire/store.rs
@@ -115,8 +115,9 @@
         let unreachable = Stop::Ended(Outcome::Unreachable);
         let stream = loop {
             let Some(address) = house.directory.peers().store else { return Err(unreachable) };
-            let left = Duration::from_secs_f64((self.deadline - house.clock.now()).max(0.001));
-            match TcpStream::connect_timeout(&address, left.min(limits.connect)) {
+            // Bounded before it becomes a duration, which has no room for a customer's endless expiry.
+            let left = (self.deadline - house.clock.now()).clamp(0.001, limits.connect.as_secs_f64());
+            match TcpStream::connect_timeout(&address, Duration::from_secs_f64(left)) {
                 Ok(stream) => break stream,
                 // It moved meanwhile.
                 Err(_) if house.directory.peers().store != Some(address) => {}
@@ -125,6 +126,8 @@
         };
         let _ = stream.set_nodelay(true);
         *lock(&self.waker) = Some(stream.waker());
+        // A slow dial may outlast the call's time, or its run: not a byte has gone, so nothing need run.
+        self.check(house, Outcome::Unreachable)?;
         let mut input = Ring::new(limits.buffer, limits.head + limits.reply);
         let mut out = Ring::new(limits.buffer, limits.head + limits.line);
         let name = String::from_utf8_lossy(name);
@@ -230,3 +233,6 @@
         calls.iter().filter(due).for_each(|call| call.wake());
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -9,6 +9,7 @@
 //! | `refuse` | is refused, as that of a txn it does not know |
 //! | anything else | gives `done` and the body |
 
+use crate::gateway::now;
 use crate::Watched;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde_json::{json, Value};
@@ -72,6 +73,22 @@
         self.farm.change(|farm| farm.mute = mute);
     }
 
+    /// Dies with its server and is to come up anew: no runs, and notices from 1.
+    pub fn anew(&self, up: bool) {
+        self.farm.change(|farm| {
+            farm.link.take().map(|link| link.shutdown(Shutdown::Both));
+            *farm = Farm { up, ..Farm::default() };
+        });
+    }
+
+    /// Says all its notices once more, each under its old number.
+    pub fn repeat(&self) {
+        self.farm.change(|farm| {
+            let notices = farm.notices.clone();
+            notices.iter().for_each(|notice| farm.say(notice));
+        });
+    }
+
     /// Cuts the link; runs go on.
     pub fn cut(&self) {
         self.farm.lock().link.take().map(|link| link.shutdown(Shutdown::Both));
@@ -104,6 +121,11 @@
         self.farm.wait(&format!("{op} of {id}"), |farm| farm.commands(op, id).next().cloned())
     }
 
+    /// When commands of this kind came, in Unix milliseconds.
+    pub fn times(&self, op: &str) -> Vec<u64> {
+        self.farm.lock().commands(op, "").filter_map(|line| line["heard_ms"].as_u64()).collect()
+    }
+
     /// How many commands of this kind came for this txn; of all txns for an empty id.
     pub fn count(&self, op: &str, id: &str) -> usize {
         self.farm.lock().commands(op, id).count()
@@ -142,7 +164,9 @@
     }
 
     fn take(&mut self, line: &Value) {
-        self.heard.push(line.clone());
+        let mut heard = line.clone();
+        heard["heard_ms"] = json!(now() as u64);
+        self.heard.push(heard);
         let id = line["id"].as_str().unwrap_or_default().to_owned();
         let body = BASE64_STANDARD.decode(line["body"].as_str().unwrap_or_default()).unwrap_or_default();
         match line["op"].as_str().unwrap_or_default() {
--- a/examples/toy/src/gateway.rs
+++ b/examples/toy/src/gateway.rs
@@ -48,6 +48,11 @@
         (self.tag, name)
     }
 
+    /// Reads to the end of the connection; an error if it was reset.
+    pub fn end(&mut self) -> std::io::Result<()> {
+        self.stream.read_to_end(&mut Vec::new()).map(drop)
+    }
+
     pub fn cancel(&mut self, tag: u64) {
         self.send(&[b"CANCEL", tag.to_string().as_bytes()]);
     }
--- a/examples/toy/src/town.rs
+++ b/examples/toy/src/town.rs
@@ -124,6 +124,33 @@
         self.reload(&self.told.to_string());
     }
 
+    /// Has the process stand still: what comes meanwhile waits in its sockets.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let stopped = |text: String| text.rsplit_once(')').is_some_and(|(_, rest)| rest.starts_with(" T"));
+        while !std::fs::read_to_string(&stat).is_ok_and(stopped) {
+            thread::yield_now();
+        }
+    }
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Kills the process and its agent outright.
+    pub fn kill(&mut self, agent_is_up: bool) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.agent.anew(agent_is_up);
+    }
+
+    /// Starts the process again at its old address.
+    pub fn start_again(&mut self, program: &[&str]) {
+        self.told["listen"] = json!(self.server);
+        self.log = Arc::default();
+        (self.child, self.path) = start(program, &self.told.to_string(), &self.log, &self.deaf);
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let done = Command::new("kill").args([signal, &id]).status().expect("a kill command");
