A cold server begins and asks for no more than its ramp, under the sum of its callers

The module bounded how many run at once (0.75 of the crowd), not how many begin: with short runs 29,909 of 30 callers' requests began in three spans that bear 19.4 each. It said nothing of its warmth, tokens had a floor for each caller, and a declined caller came back after 0.25 s however many there were.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -275,6 +275,7 @@
         cold_share: rules.number_or_none("ColdShare")?,
         cold_span: rules.span_or_none("Cold")?,
         fall_multiple: rules.positive("FallMultiple")?,
+        fall_span: rules.span_or_none("Fall")?,
         grace: rules.span_or_none("StopSendingWithin")?,
         retry_after,
         idle: info.span_or_none("Idle")?,
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -256,11 +256,11 @@
 
 #[test]
 fn silent_clients_in_a_full_table_leave_descriptors_for_work_and_for_our_own_links() {
-    let gone = deaf().local_addr().unwrap();
+    let down = deaf();
     let narrow = ["sh", "-c", "ulimit -n 64; exec \"$0\"", SERVER[0]];
     let town = Town::open(&narrow, |told| {
         told["limits"]["sockets"] = json!(64);
-        told["roster"] = json!(gone);
+        told["roster"] = json!(down.local_addr().unwrap());
     });
     let mut silent: Vec<Gateway> = (0..200).map(|_| town.gateway()).collect();
     // As many calls below as there is room for beside a run, none of which ends.
@@ -274,7 +274,7 @@
     town.agent.hears_times("subscribe", 2);
     still_serves(&town);
     // Discovery is back where it was.
-    let back = Place::roster(&gone.to_string());
+    let back = Place::roster_at(down);
     back.hears("PUT /roster/toy-1 ", "on");
     still_serves(&town);
     assert!(!town.log.lock().iter().any(|line| line.contains("no connection accepted")));
--- a/examples/toy/src/http.rs
+++ b/examples/toy/src/http.rs
@@ -44,11 +44,19 @@
 
     /// The roster.
     pub fn roster(address: &str) -> Place {
-        Place::open(address, |_| "HTTP/1.1 204 No Content\r\n\r\n".into())
+        Place::roster_at(TcpListener::bind(address).expect("an address"))
+    }
+
+    /// The roster, which begins to speak where it was only connected to so far.
+    pub fn roster_at(listener: TcpListener) -> Place {
+        Place::serve(listener, |_| "HTTP/1.1 204 No Content\r\n\r\n".into())
     }
 
     fn open(address: &str, reply: fn(&str) -> String) -> Place {
-        let listener = TcpListener::bind(address).expect("an address");
+        Place::serve(TcpListener::bind(address).expect("an address"), reply)
+    }
+
+    fn serve(listener: TcpListener, reply: fn(&str) -> String) -> Place {
         let address = listener.local_addr().expect("an address");
         let place = Place { address, calls: Arc::default(), ended: Arc::default() };
         let (calls, ended) = (place.calls.clone(), place.ended.clone());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,6 +64,7 @@
 const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
 const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
 const USUAL: f64 = 0.33; // share of its SLA time that a sound run takes at most: SLOW times it is past that
+const RAMP: f64 = 2.0; // standard deviations, and whole runs, over what is borne cold: the operators' ramp
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -137,6 +138,7 @@
     crowd: f64,
     cold_share: f64,
     cold_span: f64,
+    fall_span: f64,
     calls_span: f64,
     calls_top: f64,
     calls_least: f64,
@@ -153,6 +155,7 @@
     lingering: VecDeque<f64>,
     started: Option<f64>,
     last_step: f64,
+    ramp: VecDeque<(f64, f64)>, // when runs were begun of late, and of what weight, while cold
     leave: Option<(f64, f64)>,
     limit: f64,
     stretch: f64,
@@ -208,6 +211,7 @@
             crowd: (charter.fall_multiple - 1.0).max(0.0),
             cold_share: if charter.cold { charter.cold_share.min(1.0) } else { 1.0 },
             cold_span: charter.cold_span.max(1e-3),
+            fall_span: charter.fall_span,
             calls_span: (CALLS_MEAN * charter.calls_span).max(0.1),
             calls_top,
             calls_least: if common { least } else { CALLS_LEAST * calls_top },
@@ -232,6 +236,9 @@
             (self.noted, self.last_round, self.last_step) = (now, now, now);
             out.health(true, true);
             out.wake(BEAT);
+            if self.cold_share < 1.0 {
+                self.step_signal(now, 0.0, out); // the first answer tells it: callers come unprompted
+            }
         }
         round.returned.iter().for_each(|end| self.returned(now, end, out));
         for at in round.at_call.iter().filter_map(|id| self.places.get(id)) {
@@ -470,6 +477,13 @@
             if self.used + more > RAM_RUN * self.told.ram && self.running + self.calling > 0 {
                 return;
             }
+            let weight = self.weight(txn);
+            if weight > self.ramp_left(now) && !self.ramp.is_empty() {
+                return;
+            }
+            if self.warmth(now) < 1.0 {
+                self.ramp.push_back((now, weight));
+            }
             self.hold.swap_remove(place);
             let txn = &mut self.txns[at];
             (txn.stage, txn.begun) = (Stage::Running, now);
@@ -484,11 +498,28 @@
         CEILING_ALL * self.crowd_now(now) - (self.running + self.calling) as f64
     }
 
+    /// The share of its speed that the server has reached at the least.
+    fn warmth(&self, now: f64) -> f64 {
+        let age = (now - self.started.unwrap_or(now)) / self.cold_span;
+        (self.cold_share + (1.0 - self.cold_share) * age).min(1.0)
+    }
+
     /// The crowd that the server survives, with the warmth it has at the least.
     fn crowd_now(&self, now: f64) -> f64 {
-        let age = (now - self.started.unwrap_or(now)) / self.cold_span;
-        let warmth = (self.cold_share + (1.0 - self.cold_share) * age).min(1.0);
-        self.told.cores * (1.0 + self.crowd * warmth)
+        self.told.cores * (1.0 + self.crowd * self.warmth(now))
+    }
+
+    /// Runs of mean work that a cold server may yet begin within the span that its crowd is averaged over. Guards
+    /// against all callers finding it at once, each of which knows only what it sends itself.
+    fn ramp_left(&mut self, now: f64) -> f64 {
+        while self.ramp.front().is_some_and(|&(at, _)| at + self.fall_span <= now) {
+            self.ramp.pop_front();
+        }
+        if self.warmth(now) >= 1.0 {
+            return f64::MAX;
+        }
+        let n = self.crowd_now(now);
+        n + RAMP * n.sqrt() + RAMP - self.ramp.iter().map(|&(_, weight)| weight).sum::<f64>()
     }
 
     fn beat(&mut self, now: f64, gauges: &Gauges, out: &mut impl Writer) {
@@ -553,10 +584,13 @@
             let idle = self.hold.is_empty() && busy < FULL;
             self.pressure = (self.pressure - PRESS * if idle { 2.0 } else { 0.5 }).max(0.0);
         }
-        let bias = 1.0 - BIAS_CUT * self.pressure;
+        // Guards against a full share for a cold server: it asks for no more than the share of its speed.
+        let pressure = self.pressure.max(1.0 - self.warmth(now));
+        let bias = 1.0 - BIAS_CUT * pressure;
+        let left = self.ramp_left(now) - self.hold.len() as f64;
         let amount = match self.told.signal {
             Signal::Silent => return,
-            Signal::Level => self.level_top * self.pressure,
+            Signal::Level => self.level_top * pressure,
             Signal::Bias => bias,
             // What can be finished within the shortest wait, beside what runs; far more while nothing waits.
             Signal::Tokens => {
@@ -564,7 +598,9 @@
                 let seen = 1.0 - (-(now - self.started.unwrap_or(now)) / RATE_SPAN).exp();
                 let room = self.limit + TOKEN_WAIT * self.finished / seen.max(STEP) * wait;
                 let idle = self.longest < TIGHT / 2.0 && busy < FULL;
-                (room * if idle { IDLE_ROOM } else { 1.0 } / self.callers).max(bias)
+                let usual = (room * if idle { IDLE_ROOM } else { 1.0 } / self.callers).max(bias);
+                // What all callers may have here together, whoever of them came unprompted.
+                usual.min(left.max(0.0) / self.callers)
             }
         };
         if (amount - self.said).abs() > 1e-3 {
@@ -617,6 +653,10 @@
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         // Where callers are few each brings much: kept off for long they would leave the cores idle in turns.
         let keep_off = keep_off.min(KEEP_TXNS * self.callers / self.finished.max(STEP));
+        // While it is cold, all callers together come back no faster than it begins their runs.
+        let turn = self.callers * self.fall_span / self.crowd_now(self.last_round);
+        let cold = self.warmth(self.last_round) < 1.0;
+        let keep_off = if cold { keep_off.max(turn.min(self.retry_after)) } else { keep_off };
         out.decline(txn.news.id, keep_off, last, reason);
         *self.sheds.entry((txn.news.product, reason)).or_default() += 1;
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,8 +105,9 @@
     pub cold: bool,
     pub cold_share: f64,
     pub cold_span: f64,
-    /// Running txns a core at which a warm server falls over.
+    /// Running txns a core at which a warm server falls over, and the span over which they are averaged.
     pub fall_multiple: f64,
+    pub fall_span: f64,
     /// What arrives later than this after the notice to leave must not run.
     pub grace: f64,
     /// The longest Retry-After that is heeded; 0 where none is passed on.
@@ -134,6 +135,7 @@
             ("lingering", self.lingers),
             ("cold share", self.cold_share),
             ("cold span", self.cold_span),
+            ("fall span", self.fall_span),
             ("grace", self.grace),
             ("retry-after", self.retry_after),
             ("idle time", self.idle),
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -98,6 +98,7 @@
         cold_share: 0.2,
         cold_span: 10.0,
         fall_multiple: 5.0,
+        fall_span: 1.5,
         grace: 2.0,
         retry_after: 1.0,
         idle: 30.0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -139,6 +139,61 @@
     }
 }
 
+/// A cold server of six cores among 30 callers, and what the operators let it begin in 1.5 s.
+fn cold(signal: Signal) -> (Charter, f64) {
+    let n: f64 = 6.0 * (1.0 + 4.0 * 0.2);
+    let told = Charter { cold: true, cold_span: 1e3, cores: 6.0, callers: 30.0, signal, ..charter() };
+    (told, n + 2.0 * n.sqrt() + 2.0)
+}
+
+#[test]
+fn rule_4_a_cold_server_begins_no_more_than_its_ramp_however_fast_its_runs_end() {
+    let (told, ramp) = cold(Signal::Silent);
+    let mut host = Host::new(&told);
+    let (mut id, mut begun) = (0, Vec::new());
+    while host.now < 106.0 {
+        id += 1;
+        let said = [host.arrive(&[txn(id, 0)]), host.pass(0.02)].concat();
+        for run in said.iter().filter_map(|line| line.strip_prefix("run ")) {
+            begun.push(host.now);
+            host.done(run.parse().unwrap());
+        }
+    }
+    let within = |&from: &f64| begun.iter().filter(|&&at| at >= from && at < from + 1.45).count() as f64;
+    let most = begun.iter().map(within).fold(0.0, f64::max);
+    // A growing warmth bears a little more towards the end.
+    assert!(most <= ramp + 0.2 && most > ramp - 3.0, "{most} begun, {ramp:.1} borne");
+}
+
+#[test]
+fn what_a_cold_server_tells_all_its_callers_adds_up_to_its_ramp() {
+    for (signal, most) in [(Signal::Tokens, cold(Signal::Tokens).1 / 30.0), (Signal::Bias, 0.28)] {
+        let host = Host::new(&cold(signal).0);
+        let told: f64 = host.said.0[1].strip_prefix("signal ").expect("its first word").parse().unwrap();
+        assert!(told > 0.9 * most && told <= most + 0.005, "{signal:?}: {told}, {most}");
+    }
+    // Of two bands the lower may be cut, by the share of its speed that the server lacks.
+    let mut host = Host::new(&cold(Signal::Level).0);
+    assert_eq!(host.count("signal 0.40"), 1);
+    // Whoever is turned away comes back when its turn is, not when it likes.
+    host.arrive(&(1..90).map(|id| txn(id, 0)).collect::<Vec<_>>());
+    let said = host.pass(2.2);
+    let declined = said.iter().filter(|line| line.starts_with("decline"));
+    assert!(declined.clone().count() > 50 && declined.clone().all(|line| line.contains(" 1 ")), "{said:?}");
+}
+
+#[test]
+fn a_server_that_is_warm_says_nothing_of_its_warmth_and_begins_what_it_likes() {
+    let mut host = Host::new(&Charter { cold: true, cold_span: 0.5, ..cold(Signal::Level).0 });
+    host.pass(1.0);
+    assert_eq!(host.said.0.iter().rfind(|line| line.starts_with("signal")).unwrap(), "signal 0.00");
+    for id in 1..60 {
+        host.arrive(&[txn(id, 0)]);
+        host.done(id);
+    }
+    assert_eq!(host.count("run"), 59);
+}
+
 #[test]
 fn the_limit_grows_only_while_cores_are_free() {
     let mut host = full(&charter());
