Connections of gateways are called connections, and what is known of one its state

Need: names are the field's own where code is touched. Outlet becomes Connection, Counter becomes State, in the gateway's file, the txn's and their tests; mechanical, nothing else.

--- a/crates/server/src/txn.rs
+++ b/crates/server/src/txn.rs
@@ -6,7 +6,7 @@
 use crate::memory::book::Page;
 use crate::memory::hands::{Name, Slip, Word};
 use crate::memory::keys::{Key, Print};
-use crate::wire::gateway::Outlet;
+use crate::wire::gateway::Connection;
 use crate::wire::resp::{self, Array};
 use crate::wire::store::Call;
 use puffinladder::{Effect, Outcome, Reason, Txn};
@@ -80,7 +80,7 @@
 /// Owes a txn its one answer. What ends without one, a panic too, is answered as voided.
 struct Answer<'a> {
     house: &'a House,
-    outlet: &'a Outlet,
+    connection: &'a Connection,
     tag: u64,
     owed: bool,
     page: Page<'a>,
@@ -96,7 +96,7 @@
                 all.push(b',');
             }
             all.extend_from_slice(fields);
-            self.outlet.answer(self.house, self.tag, word, &all, body);
+            self.connection.answer(self.house, self.tag, word, &all, body);
             self.house.tally.count(word);
         }
     }
@@ -181,13 +181,17 @@
 }
 
 /// Gives a txn its coroutine. A process with no room for one more says so at once.
-pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, outlet: Arc<Outlet>, tag: u64) {
+pub fn begin(house: &Arc<House>, read: Read, slip: Arc<Slip>, connection: Arc<Connection>, tag: u64) {
     let Some(life) = Life::begin(house) else {
         let page = house.desk.book.page(&read, &house.warrant.terms);
-        Answer { house, outlet: &outlet, tag, owed: true, page }.decline(0.0, false, Reason::ProcessFull);
+        Answer { house, connection: &connection, tag, owed: true, page }.decline(
+            0.0,
+            false,
+            Reason::ProcessFull,
+        );
         return;
     };
-    may::go!(move || live(&life.0, read, slip, &outlet, tag));
+    may::go!(move || live(&life.0, read, slip, &connection, tag));
 }
 
 /// What the agent was last told of a run and has shown no effect of yet.
@@ -224,9 +228,9 @@
     }
 }
 
-fn live(house: &Arc<House>, read: Read, mut slip: Arc<Slip>, outlet: &Outlet, tag: u64) {
+fn live(house: &Arc<House>, read: Read, mut slip: Arc<Slip>, connection: &Connection, tag: u64) {
     let page = house.desk.book.page(&read, &house.warrant.terms);
-    let mut answer = Answer { house, outlet, tag, owed: true, page };
+    let mut answer = Answer { house, connection, tag, owed: true, page };
     let key = read.key.as_ref();
     // Offered to the module once; again only if it waited for another that then never ran.
     loop {
@@ -247,7 +251,7 @@
             Offer::Full => return answer.decline(0.0, false, Reason::NoKeyRoom),
             Offer::Doubtful => {
                 tracing::trace!("txn at tag {tag}: waits for its key");
-                match (slip.wait(), outlet.renew(tag)) {
+                match (slip.wait(), connection.renew(tag)) {
                     (Word::Free, Some(new)) => {
                         slip = new;
                         continue;
@@ -294,7 +298,7 @@
                 // That one never ran after all: this is the first now, and hears its words on a slip of its own.
                 Word::Free => {
                     place.leave(Outcome::Moot, 0.0);
-                    match outlet.renew(tag) {
+                    match connection.renew(tag) {
                         Some(new) => slip = new,
                         None => return,
                     }
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -19,21 +19,21 @@
 /// All connections, and the bytes that wait for them together.
 #[derive(Default)]
 pub struct Gateways {
-    outlets: Mutex<HashMap<usize, Arc<Outlet>>>,
+    connections: Mutex<HashMap<usize, Arc<Connection>>>,
     /// Those that no longer have a seat: ended from here and read to their end, oldest first.
-    parting: Mutex<VecDeque<Arc<Outlet>>>,
+    parting: Mutex<VecDeque<Arc<Connection>>>,
     /// Where the listener waits for a seat.
     room: Chores,
     unsent: AtomicUsize,
 }
 
 /// What a txn keeps of the connection on which its answer is owed; the socket itself may be long gone.
-pub struct Outlet {
-    counter: Mutex<Counter>,
+pub struct Connection {
+    state: Mutex<State>,
     waker: WaitIoWaker,
 }
 
-struct Counter {
+struct State {
     out: Ring,
     open: HashMap<u64, Arc<Slip>>,
     tags: Tags,
@@ -63,7 +63,7 @@
     Parts,
 }
 
-impl Counter {
+impl State {
     /// What a read brought: some whole messages, and nothing else or a part of the next.
     fn progress(&mut self, whole: u32, empty: bool, now: f64) {
         self.messages = self.messages.saturating_add(whole);
@@ -117,10 +117,10 @@
     }
 }
 
-impl Outlet {
-    pub fn new(house: &House, stream: &TcpStream) -> Outlet {
+impl Connection {
+    pub fn new(house: &House, stream: &TcpStream) -> Connection {
         let now = house.clock.now();
-        let counter = Counter {
+        let state = State {
             out: Ring::new(house.limits.buffer, house.limits.unsent),
             open: HashMap::new(),
             tags: Tags::default(),
@@ -134,11 +134,11 @@
             part: false,
             checks: false,
         };
-        Outlet { counter: Mutex::new(counter), waker: stream.waker() }
+        Connection { state: Mutex::new(state), waker: stream.waker() }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Counter> {
-        lock(&self.counter)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
     }
 
     /// Owes a tag its answer from now on; the slip hears if its gateway stops waiting.
@@ -153,42 +153,42 @@
 
     /// A new slip for a tag that is still owed its answer.
     pub fn renew(&self, tag: u64) -> Option<Arc<Slip>> {
-        let mut counter = self.lock();
-        let slip = counter.open.get_mut(&tag)?;
+        let mut state = self.lock();
+        let slip = state.open.get_mut(&tag)?;
         *slip = Arc::default();
         Some(slip.clone())
     }
 
     /// Gives the one answer that a tag is owed; none goes out where the gateway has stopped waiting.
     pub fn answer(&self, house: &House, tag: u64, word: &str, fields: &[u8], body: &[u8]) {
-        let mut counter = self.lock();
-        if counter.open.remove(&tag).is_none() || counter.closed {
+        let mut state = self.lock();
+        if state.open.remove(&tag).is_none() || state.closed {
             return;
         }
         let mut number = Vec::with_capacity(20);
         resp::put_decimal(&mut number, tag);
-        counter.used = house.clock.now();
-        self.write(house, &mut counter, &[&number, word.as_bytes(), fields, body]);
+        state.used = house.clock.now();
+        self.write(house, &mut state, &[&number, word.as_bytes(), fields, body]);
     }
 
     /// Writes what the gateway takes now; whether that was all.
-    fn flush(&self, house: &House, counter: &mut Counter, stream: &TcpStream) -> io::Result<bool> {
-        let before = counter.out.len();
-        let written = counter.out.drain_to(stream.inner());
-        house.gateways.unsent.fetch_sub(before - counter.out.len(), Ordering::Relaxed);
+    fn flush(&self, house: &House, state: &mut State, stream: &TcpStream) -> io::Result<bool> {
+        let before = state.out.len();
+        let written = state.out.drain_to(stream.inner());
+        house.gateways.unsent.fetch_sub(before - state.out.len(), Ordering::Relaxed);
         written
     }
 
-    fn write(&self, house: &House, counter: &mut Counter, elements: &[&[u8]]) {
+    fn write(&self, house: &House, state: &mut State, elements: &[&[u8]]) {
         let mut bytes = Vec::with_capacity(64 + elements.iter().map(|e| e.len() + 12).sum::<usize>());
         resp::write(&mut bytes, elements);
         let all = house.gateways.unsent.fetch_add(bytes.len(), Ordering::Relaxed) + bytes.len();
         // Where too much lies unread in all, those close that leave much of it, not whoever is answered next.
-        let hogs = all > house.limits.unsent_all && counter.out.len() > house.limits.unsent_fair;
-        if hogs || counter.out.put(&bytes).is_err() {
+        let hogs = all > house.limits.unsent_all && state.out.len() > house.limits.unsent_fair;
+        if hogs || state.out.put(&bytes).is_err() {
             house.gateways.unsent.fetch_sub(bytes.len(), Ordering::Relaxed);
-            counter.closed = true;
-            let unread = counter.out.len();
+            state.closed = true;
+            let unread = state.out.len();
             house.tally.complain(
                 house,
                 format_args!("gateway: a connection closed, {unread} bytes lay unread there"),
@@ -203,50 +203,50 @@
     /// wakes those with a message that ought to be finished.
     pub fn tidy(&self, house: &House, keep: f64) {
         let now = house.clock.now();
-        for outlet in self.lock().values() {
-            let mut counter = outlet.lock();
-            if counter.unfinished.is_some_and(|since| now - since > house.limits.message_wait) {
-                outlet.waker.wakeup();
+        for connection in self.lock().values() {
+            let mut state = connection.lock();
+            if state.unfinished.is_some_and(|since| now - since > house.limits.message_wait) {
+                connection.waker.wakeup();
             }
-            if !counter.idle() {
+            if !state.idle() {
                 continue;
             }
-            match counter.leaving {
-                None if now - counter.used > counter.patience(keep, house) => {
-                    counter.leaving = Some(now);
-                    outlet.write(house, &mut counter, &[b"0", b"goaway"]);
+            match state.leaving {
+                None if now - state.used > state.patience(keep, house) => {
+                    state.leaving = Some(now);
+                    connection.write(house, &mut state, &[b"0", b"goaway"]);
                 }
                 Some(since)
-                    if now - since > house.limits.goodbye && now - counter.used > house.limits.goodbye =>
+                    if now - since > house.limits.goodbye && now - state.used > house.limits.goodbye =>
                 {
-                    counter.parting = true;
-                    outlet.waker.wakeup();
+                    state.parting = true;
+                    connection.waker.wakeup();
                 }
                 _ => {}
             }
         }
-        lock(&self.parting).iter().for_each(|outlet| outlet.waker.wakeup());
+        lock(&self.parting).iter().for_each(|connection| connection.waker.wakeup());
         self.room.ring();
     }
 
     /// Asks all connections on which nothing is owed to be left: the process ends soon.
     pub fn goodbye(&self, house: &House) {
-        for outlet in self.lock().values() {
-            let mut counter = outlet.lock();
-            if counter.idle() && counter.leaving.is_none() {
-                counter.leaving = Some(house.clock.now());
-                outlet.write(house, &mut counter, &[b"0", b"goaway"]);
+        for connection in self.lock().values() {
+            let mut state = connection.lock();
+            if state.idle() && state.leaving.is_none() {
+                state.leaving = Some(house.clock.now());
+                connection.write(house, &mut state, &[b"0", b"goaway"]);
             }
         }
     }
 
     /// Ends all connections on which nothing is owed, so that none is cut off by the end of the process.
     pub fn part_all(&self) {
-        for outlet in self.lock().values() {
-            let mut counter = outlet.lock();
-            if counter.idle() && !counter.parting {
-                counter.parting = true;
-                outlet.waker.wakeup();
+        for connection in self.lock().values() {
+            let mut state = connection.lock();
+            if state.idle() && !state.parting {
+                state.parting = true;
+                connection.waker.wakeup();
             }
         }
     }
@@ -255,24 +255,24 @@
     /// once, else any, and of its kind the one that lay unused for longest. A gateway that sends there at this
     /// moment sends once more. Whether there is any.
     fn make_room(&self) -> bool {
-        let outlets = self.lock();
-        let idle = outlets.values().filter_map(|outlet| {
-            let counter = outlet.lock();
-            let free = counter.idle() && !counter.parting;
-            free.then(|| (counter.messages.min(2), counter.used, outlet))
+        let connections = self.lock();
+        let idle = connections.values().filter_map(|connection| {
+            let state = connection.lock();
+            let free = state.idle() && !state.parting;
+            free.then(|| (state.messages.min(2), state.used, connection))
         });
-        let Some((.., outlet)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) else {
+        let Some((.., connection)) = idle.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) else {
             return false;
         };
-        outlet.lock().parting = true;
-        outlet.waker.wakeup();
+        connection.lock().parting = true;
+        connection.waker.wakeup();
         true
     }
 
     /// A connection has lost its seat. Those that part longest make way: descriptors are for who comes with work.
-    fn parts(&self, outlet: &Arc<Outlet>, most: usize) {
+    fn parts(&self, connection: &Arc<Connection>, most: usize) {
         let mut parting = lock(&self.parting);
-        parting.push_back(outlet.clone());
+        parting.push_back(connection.clone());
         while parting.len() > most {
             let Some(oldest) = parting.pop_front() else { return };
             oldest.waker.wakeup();
@@ -280,16 +280,16 @@
     }
 
     /// Whether a connection may go on parting.
-    fn parting(&self, outlet: &Arc<Outlet>) -> bool {
-        lock(&self.parting).iter().any(|other| Arc::ptr_eq(other, outlet))
+    fn parting(&self, connection: &Arc<Connection>) -> bool {
+        lock(&self.parting).iter().any(|other| Arc::ptr_eq(other, connection))
     }
 
     pub fn count(&self) -> usize {
         self.lock().len()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<usize, Arc<Outlet>>> {
-        lock(&self.outlets)
+    fn lock(&self) -> MutexGuard<'_, HashMap<usize, Arc<Connection>>> {
+        lock(&self.connections)
     }
 }
 
@@ -311,9 +311,9 @@
                     );
                     continue;
                 }
-                let outlet = Arc::new(Outlet::new(house, &stream));
-                house.gateways.lock().insert(serial, outlet.clone());
-                let seat = Seat { house: house.clone(), outlet, serial };
+                let connection = Arc::new(Connection::new(house, &stream));
+                house.gateways.lock().insert(serial, connection.clone());
+                let seat = Seat { house: house.clone(), connection, serial };
                 may::go!(move || serve(&seat, &stream));
                 // The new one is read, and the one that made room has ended or got work, before the next comes: whoever
                 // only yields here goes first again, and none of them would get to run.
@@ -335,7 +335,7 @@
 /// A connection's place among the others; whatever ends it, its txns count as gone.
 struct Seat {
     house: Arc<House>,
-    outlet: Arc<Outlet>,
+    connection: Arc<Connection>,
     serial: usize,
 }
 
@@ -345,25 +345,25 @@
         if self.house.gateways.lock().remove(&self.serial).is_some() {
             self.house.gateways.room.ring();
         }
-        let mut counter = self.outlet.lock();
-        counter.closed = true;
-        counter.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
+        let mut state = self.connection.lock();
+        state.closed = true;
+        state.open.drain().for_each(|(_, slip)| slip.say(Word::Gone));
     }
 
     /// Ends the connection: what is written goes out, then FIN, and what still comes is read and passed over for a
     /// while. Closed over unread bytes it would be reset, and the reset overtakes answers that are on their way. What
     /// is passed over was never taken: its gateway sends it once more.
     fn part(&self, stream: &TcpStream) {
-        let (house, outlet) = (&*self.house, &self.outlet);
+        let (house, connection) = (&*self.house, &self.connection);
         self.leave();
         // At the end of the process all part together, and nobody comes who would need their descriptors.
         let most = if house.desk.kill().is_some() { usize::MAX } else { house.limits.outgoing };
-        house.gateways.parts(outlet, most);
+        house.gateways.parts(connection, most);
         let (until, mut left) = (house.clock.now() + house.limits.parting, house.limits.parting_bytes);
         let mut ended = false;
         loop {
             if !ended {
-                match outlet.flush(house, &mut outlet.lock(), stream) {
+                match connection.flush(house, &mut connection.lock(), stream) {
                     Ok(true) => ended = stream.shutdown(Shutdown::Write).is_ok(),
                     Ok(false) => {}
                     Err(_) => return,
@@ -381,7 +381,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
-            if house.clock.now() > until || !house.gateways.parting(outlet) {
+            if house.clock.now() > until || !house.gateways.parting(connection) {
                 return;
             }
             stream.wait_io();
@@ -392,15 +392,15 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.leave();
-        lock(&self.house.gateways.parting).retain(|other| !Arc::ptr_eq(other, &self.outlet));
-        let mut counter = self.outlet.lock();
-        self.house.gateways.unsent.fetch_sub(counter.out.len(), Ordering::Relaxed);
-        counter.out = Ring::new(1, 1);
+        lock(&self.house.gateways.parting).retain(|other| !Arc::ptr_eq(other, &self.connection));
+        let mut state = self.connection.lock();
+        self.house.gateways.unsent.fetch_sub(state.out.len(), Ordering::Relaxed);
+        state.out = Ring::new(1, 1);
     }
 }
 
 fn serve(seat: &Seat, stream: &TcpStream) {
-    match talk(&seat.house, stream, &seat.outlet) {
+    match talk(&seat.house, stream, &seat.connection) {
         Ok(End::Gone) => {}
         Ok(End::Parts) => seat.part(stream),
         Err(what) => {
@@ -411,7 +411,7 @@
 }
 
 /// Reads and writes until the connection ends; an error says what the gateway did wrong.
-fn talk(house: &Arc<House>, stream: &TcpStream, outlet: &Arc<Outlet>) -> Result<End, String> {
+fn talk(house: &Arc<House>, stream: &TcpStream, connection: &Arc<Connection>) -> Result<End, String> {
     let mut input = Ring::new(house.limits.buffer, 2 * house.limits.message);
     loop {
         let mut count = 0;
@@ -424,11 +424,11 @@
             let mut whole = 0;
             while let Some(array) = resp::array(input.whole(), house.limits.body)? {
                 let size = array.size;
-                take(house, outlet, &array)?;
+                take(house, connection, &array)?;
                 input.consume(size);
                 whole += 1;
             }
-            outlet.lock().progress(whole, input.is_empty(), house.clock.now());
+            connection.lock().progress(whole, input.is_empty(), house.clock.now());
             if input.len() > house.limits.message {
                 return Err("an oversized message".into());
             }
@@ -436,22 +436,22 @@
                 break (false, true);
             }
         };
-        let mut counter = outlet.lock();
-        let written = outlet.flush(house, &mut counter, stream);
-        if ended || counter.closed || written.is_err() {
+        let mut state = connection.lock();
+        let written = connection.flush(house, &mut state, stream);
+        if ended || state.closed || written.is_err() {
             return Ok(End::Gone);
         }
         // Only now that all that has come is read: a request that crossed the wish to close is served.
-        if !more && std::mem::take(&mut counter.parting) && counter.idle() {
-            counter.closed = true;
+        if !more && std::mem::take(&mut state.parting) && state.idle() {
+            state.closed = true;
             return Ok(End::Parts);
         }
         // All that has come is read: what is unfinished now has had its time. Answers that are owed go out first.
         let late = |since| house.clock.now() - since > house.limits.message_wait;
-        if !more && counter.open.is_empty() && counter.unfinished.is_some_and(late) {
+        if !more && state.open.is_empty() && state.unfinished.is_some_and(late) {
             return Err(if input.is_empty() { "no first message" } else { "an unfinished message" }.into());
         }
-        drop(counter);
+        drop(state);
         if more {
             coroutine::yield_now();
         } else {
@@ -461,18 +461,18 @@
 }
 
 /// One message of a gateway.
-fn take(house: &Arc<House>, outlet: &Arc<Outlet>, array: &Array) -> Result<(), String> {
+fn take(house: &Arc<House>, connection: &Arc<Connection>, array: &Array) -> Result<(), String> {
     let tag = resp::decimal(array.at(1)).filter(|&tag| tag > 0);
     let tag = tag.ok_or("a tag that is no number from 1 up")?;
-    let mut counter = outlet.lock();
+    let mut state = connection.lock();
     // What stands behind the message at which it was cut off is not taken: its answer could not go out.
-    if counter.closed {
+    if state.closed {
         return Ok(());
     }
-    counter.used = house.clock.now();
+    state.used = house.clock.now();
     match array.at(0) {
         b"CANCEL" => {
-            if let Some(slip) = counter.open.remove(&tag) {
+            if let Some(slip) = state.open.remove(&tag) {
                 slip.say(Word::Gone);
             }
             return Ok(());
@@ -480,29 +480,29 @@
         b"CALL" | b"CHECK" => {}
         _ => return Err("an unknown verb".into()),
     }
-    if !counter.tags.take(tag, house.limits.tags) {
+    if !state.tags.take(tag, house.limits.tags) {
         return Err(format!("tag {tag} used again"));
     }
     if array.at(0) == b"CHECK" {
-        counter.checks = true;
+        state.checks = true;
         let word: &[u8] = if house.desk.serving() { b"serving" } else { b"not_serving" };
         let mut fields = Vec::new();
         house.desk.put_signal(&mut fields);
-        outlet.write(house, &mut counter, &[array.at(1), word, &fields]);
+        connection.write(house, &mut state, &[array.at(1), word, &fields]);
         return Ok(());
     }
-    counter.checks = false;
-    if counter.open.len() >= house.limits.open {
+    state.checks = false;
+    if state.open.len() >= house.limits.open {
         return Err("too many open txns".into());
     }
     let slip = Arc::new(Slip::default());
-    counter.open.insert(tag, slip.clone());
-    drop(counter);
+    state.open.insert(tag, slip.clone());
+    drop(state);
     match txn::Read::new(&house.warrant.terms, array, &house.prints) {
-        Ok(read) => txn::begin(house, read, slip, outlet.clone(), tag),
+        Ok(read) => txn::begin(house, read, slip, connection.clone(), tag),
         Err(what) => {
             house.tally.complain(house, format_args!("gateway: tag {tag} voided unread: {what}"));
-            outlet.answer(house, tag, "500", &[], &[]);
+            connection.answer(house, tag, "500", &[], &[]);
         }
     }
     Ok(())
--- a/crates/server/src/wire/gateway/tests.rs
+++ b/crates/server/src/wire/gateway/tests.rs
@@ -8,9 +8,9 @@
         House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let [hog, other] = [(); 2].map(|()| Outlet::new(&house, &stream));
-    for outlet in [&hog, &other] {
-        (1..=3).for_each(|tag| outlet.open(tag, &Arc::default()));
+    let [hog, other] = [(); 2].map(|()| Connection::new(&house, &stream));
+    for connection in [&hog, &other] {
+        (1..=3).for_each(|tag| connection.open(tag, &Arc::default()));
     }
     let much = vec![0; house.limits.unsent_fair];
     hog.answer(&house, 1, "200", &[], &much);
@@ -32,16 +32,16 @@
         House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let outlet = Outlet::new(&house, &stream);
+    let connection = Connection::new(&house, &stream);
     let patience = |messages, span| {
-        let mut counter = outlet.lock();
-        (counter.messages, counter.used) = (messages, counter.since + span);
-        counter.patience(0.1, &house)
+        let mut state = connection.lock();
+        (state.messages, state.used) = (messages, state.since + span);
+        state.patience(0.1, &house)
     };
     assert_eq!(patience(1, 10.0), 0.1);
     assert!((patience(5, 10.0) - 8.0).abs() < 1e-6);
     assert_eq!(patience(5, 1000.0), 30.0, "and never for longer than the settings say");
-    outlet.lock().checks = true;
+    connection.lock().checks = true;
     assert_eq!(patience(1, 0.0), house.limits.checks_idle);
 }
 
@@ -67,9 +67,9 @@
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let gateway = listener.accept().unwrap().0;
     gateway.set_read_timeout(Some(puffinladder_toy::PATIENCE)).unwrap();
-    let outlet = Arc::new(Outlet::new(&house, &stream));
-    house.gateways.lock().insert(1, outlet.clone());
-    let seat = Seat { house: house.clone(), outlet, serial: 1 };
+    let connection = Arc::new(Connection::new(&house, &stream));
+    house.gateways.lock().insert(1, connection.clone());
+    let seat = Seat { house: house.clone(), connection, serial: 1 };
     (house, seat, stream, gateway)
 }
 
@@ -81,16 +81,16 @@
 #[test]
 fn a_request_that_crosses_the_wish_to_close_its_connection_is_taken_and_answered() {
     let (house, seat, stream, mut gateway) = seated();
-    let outlet = seat.outlet.clone();
+    let connection = seat.connection.clone();
     // The wish, then the request, then the first look: a request that is read and then closed on would be lost, and
     // one that must not run twice would run here and where its gateway sends it once more.
     assert!(house.gateways.make_room());
     gateway.write_all(&request()).unwrap();
     let serving = may::go!(move || serve(&seat, &stream));
-    while outlet.lock().open.is_empty() && house.gateways.count() > 0 {
+    while connection.lock().open.is_empty() && house.gateways.count() > 0 {
         std::thread::yield_now();
     }
-    outlet.answer(&house, 7, "200", b"", b"result");
+    connection.answer(&house, 7, "200", b"", b"result");
     let wanted = b"*4\r\n$1\r\n7\r\n$3\r\n200\r\n$0\r\n\r\n$6\r\nresult\r\n";
     let mut got = vec![0; wanted.len()];
     gateway.read_exact(&mut got).unwrap();
@@ -119,8 +119,8 @@
 fn connections_that_part_are_few_and_the_longest_makes_way() {
     let (house, seat, ..) = seated();
     let (_, other, ..) = seated();
-    house.gateways.parts(&seat.outlet, 1);
-    assert!(house.gateways.parting(&seat.outlet));
-    house.gateways.parts(&other.outlet, 1);
-    assert!(!house.gateways.parting(&seat.outlet) && house.gateways.parting(&other.outlet));
+    house.gateways.parts(&seat.connection, 1);
+    assert!(house.gateways.parting(&seat.connection));
+    house.gateways.parts(&other.connection, 1);
+    assert!(!house.gateways.parting(&seat.connection) && house.gateways.parting(&other.connection));
 }
