A cold server has no more in hand than its ramp; the gate on its starts is taken back

My reading of N was at fault.

Change: N + 2 sqrt(N) + 2 bounds what is in hand, held and run, at any time. What comes beyond it is declined at once, lowest worth first, with the new reason `cold`; those who are turned away hear the signal of that moment, not of a step ago. The lacking warmth leaves the signal as soon as work leaves cores free.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,7 +64,7 @@
 const GOING: f64 = 0.5; // share of callers who went by their usual age, at which it is a limit: most go
 const GOING_NEW: f64 = 0.2; // weight of a caller in that share: a small server sees one in a second or so
 const USUAL: f64 = 0.33; // share of its SLA time that a sound run takes at most: SLOW times it is past that
-const RAMP: f64 = 2.0; // standard deviations, and whole runs, over what is borne cold: the operators' ramp
+const RAMP: f64 = 2.0; // standard deviations, and whole txns, over the crowd borne cold: the operators' ramp
 const NOTE: f64 = 10.0; // s between notes
 
 /// Terms of a product, and what its runs have taught.
@@ -155,7 +155,7 @@
     lingering: VecDeque<f64>,
     started: Option<f64>,
     last_step: f64,
-    ramp: VecDeque<(f64, f64)>, // when runs were begun of late, and of what weight, while cold
+    chill: f64, // share of its speed that it is taken to lack
     leave: Option<(f64, f64)>,
     limit: f64,
     stretch: f64,
@@ -220,6 +220,7 @@
             retry_after: charter.products.iter().map(|p| p.sla).fold(longest, f64::min),
             sockets: SOCKETS * charter.cores * charter.fall_multiple,
             keep: charter.idle,
+            chill: 1.0,
             limit: charter.cores,
             stretch: 1.0,
             window,
@@ -477,13 +478,6 @@
             if self.used + more > RAM_RUN * self.told.ram && self.running + self.calling > 0 {
                 return;
             }
-            let weight = self.weight(txn);
-            if weight > self.ramp_left(now) && !self.ramp.is_empty() {
-                return;
-            }
-            if self.warmth(now) < 1.0 {
-                self.ramp.push_back((now, weight));
-            }
             self.hold.swap_remove(place);
             let txn = &mut self.txns[at];
             (txn.stage, txn.begun) = (Stage::Running, now);
@@ -509,17 +503,12 @@
         self.told.cores * (1.0 + self.crowd * self.warmth(now))
     }
 
-    /// Runs of mean work that a cold server may yet begin within the span that its crowd is averaged over. Guards
-    /// against all callers finding it at once, each of which knows only what it sends itself.
-    fn ramp_left(&mut self, now: f64) -> f64 {
-        while self.ramp.front().is_some_and(|&(at, _)| at + self.fall_span <= now) {
-            self.ramp.pop_front();
-        }
-        if self.warmth(now) >= 1.0 {
-            return f64::MAX;
-        }
+    /// How many more a cold server may have in hand, held and run. Guards against all callers finding it at
+    /// once, each of which knows only what it sends itself.
+    fn ramp_left(&self, now: f64) -> f64 {
         let n = self.crowd_now(now);
-        n + RAMP * n.sqrt() + RAMP - self.ramp.iter().map(|&(_, weight)| weight).sum::<f64>()
+        let most = if self.warmth(now) < 1.0 { n + RAMP * n.sqrt() + RAMP } else { f64::MAX };
+        most - (self.hold.len() + self.running + self.calling) as f64
     }
 
     fn beat(&mut self, now: f64, gauges: &Gauges, out: &mut impl Writer) {
@@ -534,7 +523,7 @@
                 self.decline(at, reason, out);
             }
         }
-        self.cut_hold(out);
+        self.cut_hold(now, out);
         if now - self.last_step < STEP {
             return;
         }
@@ -584,10 +573,19 @@
             let idle = self.hold.is_empty() && busy < FULL;
             self.pressure = (self.pressure - PRESS * if idle { 2.0 } else { 0.5 }).max(0.0);
         }
-        // Guards against a full share for a cold server: it asks for no more than the share of its speed.
-        let pressure = self.pressure.max(1.0 - self.warmth(now));
+        self.say(now, busy, out);
+    }
+
+    fn say(&mut self, now: f64, busy: f64, out: &mut impl Writer) {
+        // Guards against a full share for a cold server: it asks for no more than the share of its speed,
+        // until work that leaves cores free shows that it has more than the settings promise.
+        self.chill = self.chill.min(1.0 - self.warmth(now));
+        if self.running > 0 && self.hold.is_empty() && busy < FULL {
+            self.chill = (self.chill - 2.0 * PRESS).max(0.0);
+        }
+        let pressure = self.pressure.max(self.chill);
         let bias = 1.0 - BIAS_CUT * pressure;
-        let left = self.ramp_left(now) - self.hold.len() as f64;
+        let left = self.ramp_left(now);
         let amount = match self.told.signal {
             Signal::Silent => return,
             Signal::Level => self.level_top * pressure,
@@ -635,12 +633,19 @@
         }
     }
 
-    /// Keeps held memory under the machine's, lowest worth first.
-    fn cut_hold(&mut self, out: &mut impl Writer) {
-        while self.used > RAM_HOLD * self.told.ram {
+    /// Keeps held memory under the machine's, and what a cold server has in hand within its ramp, lowest
+    /// worth first.
+    fn cut_hold(&mut self, now: f64, out: &mut impl Writer) {
+        let mut cold = false;
+        while self.used > RAM_HOLD * self.told.ram || self.ramp_left(now) < 0.0 {
+            let full = self.used > RAM_HOLD * self.told.ram;
             let ranks = self.hold.iter().map(|&at| (at, self.rank(at)));
-            let Some((at, _)) = ranks.min_by(|a, b| order(a.1, b.1)) else { return };
-            self.decline(at, Reason::Memory, out);
+            let Some((at, _)) = ranks.min_by(|a, b| order(a.1, b.1)) else { break };
+            self.decline(at, if full { Reason::Memory } else { Reason::Cold }, out);
+            cold |= !full;
+        }
+        if cold {
+            self.say(now, 1.0, out); // those who are turned away hear it, not what was said a step ago
         }
     }
 
@@ -653,10 +658,11 @@
         let keep_off = self.retry_after * if sound { 2.0 * RETRY_SOUND * self.draw() } else { 1.0 };
         // Where callers are few each brings much: kept off for long they would leave the cores idle in turns.
         let keep_off = keep_off.min(KEEP_TXNS * self.callers / self.finished.max(STEP));
-        // While it is cold, all callers together come back no faster than it begins their runs.
+        // While it is cold and its ramp is used up, all callers together come back no faster than its crowd
+        // is renewed.
         let turn = self.callers * self.fall_span / self.crowd_now(self.last_round);
-        let cold = self.warmth(self.last_round) < 1.0;
-        let keep_off = if cold { keep_off.max(turn.min(self.retry_after)) } else { keep_off };
+        let full = self.ramp_left(self.last_round) < 1.0;
+        let keep_off = if full { keep_off.max(turn.min(self.retry_after)) } else { keep_off };
         out.decline(txn.news.id, keep_off, last, reason);
         *self.sheds.entry((txn.news.product, reason)).or_default() += 1;
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -258,10 +258,12 @@
     KeyTaken,
     /// Its life in the host broke off.
     Lost,
+    /// The module's again: the server is cold, and has in hand what its ramp bears.
+    Cold,
 }
 
 impl Reason {
-    const ALL: [(Reason, &'static str); 13] = [
+    const ALL: [(Reason, &'static str); 14] = [
         (Reason::Waited, "waited"),
         (Reason::NoTime, "no time"),
         (Reason::Memory, "memory"),
@@ -275,6 +277,7 @@
         (Reason::NameTaken, "name taken"),
         (Reason::KeyTaken, "key taken"),
         (Reason::Lost, "lost"),
+        (Reason::Cold, "cold"),
     ];
 
     /// As logs and traces write it.
