--- a/crates/server/src/wire/gateway/tests.rs
+++ b/crates/server/src/wire/gateway/tests.rs
@@ -1,13 +1,19 @@
 use super::*;
 use std::io::Write;
 
-#[test]
-fn where_all_together_leave_too_much_unread_only_those_close_that_leave_much() {
+/// The example's house, and a connection to a listener of its own.
+fn house() -> (Arc<House>, std::net::TcpListener, TcpStream) {
     let example = puffinladder_toy::town::EXAMPLE.as_bytes();
     let house =
         House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (house, listener, stream)
+}
+
+#[test]
+fn where_all_together_leave_too_much_unread_only_those_close_that_leave_much() {
+    let (house, _listener, stream) = house();
     let [hog, other] = [(); 2].map(|()| Connection::new(&house, &stream));
     for connection in [&hog, &other] {
         (1..=3).for_each(|tag| connection.open(tag, &Arc::default()));
@@ -27,11 +33,7 @@
 
 #[test]
 fn who_came_again_and_again_may_lie_unused_for_longer_than_who_came_once() {
-    let example = puffinladder_toy::town::EXAMPLE.as_bytes();
-    let house =
-        House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (house, _listener, stream) = house();
     let connection = Connection::new(&house, &stream);
     let patience = |messages, span| {
         let mut state = connection.lock();
@@ -60,11 +62,7 @@
 
 /// A connection with a seat, as the listener would have made it, and the gateway's end of it.
 fn seated() -> (Arc<House>, Seat, TcpStream, std::net::TcpStream) {
-    let example = puffinladder_toy::town::EXAMPLE.as_bytes();
-    let house =
-        House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (house, listener, stream) = house();
     let gateway = listener.accept().unwrap().0;
     gateway.set_read_timeout(Some(puffinladder_toy::PATIENCE)).unwrap();
     let connection = Arc::new(Connection::new(&house, &stream));
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -9,7 +9,6 @@
 //! | `refuse` | is refused, as that of a txn it does not know |
 //! | anything else | gives `done` and the body |
 
-use crate::gateway::now;
 use crate::Watched;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde_json::{json, Value};
@@ -121,11 +120,6 @@
         self.farm.wait(&format!("{op} of {id}"), |farm| farm.commands(op, id).next().cloned())
     }
 
-    /// When commands of this kind came, in Unix milliseconds.
-    pub fn times(&self, op: &str) -> Vec<u64> {
-        self.farm.lock().commands(op, "").filter_map(|line| line["heard_ms"].as_u64()).collect()
-    }
-
     /// How many commands of this kind came for this txn; of all txns for an empty id.
     pub fn count(&self, op: &str, id: &str) -> usize {
         self.farm.lock().commands(op, id).count()
@@ -164,9 +158,7 @@
     }
 
     fn take(&mut self, line: &Value) {
-        let mut heard = line.clone();
-        heard["heard_ms"] = json!(now() as u64);
-        self.heard.push(heard);
+        self.heard.push(line.clone());
         let id = line["id"].as_str().unwrap_or_default().to_owned();
         let body = BASE64_STANDARD.decode(line["body"].as_str().unwrap_or_default()).unwrap_or_default();
         match line["op"].as_str().unwrap_or_default() {
