A call may go wherever a run may start, so that a small crowd does not starve calls

Cause: open_calls asked for a whole place in the crowd (room >= 1), start for any (room > 0). With a crowd of 9.6 for runs and calls together a run that goes to its call leaves 0.6: too little for the call, enough for a new run. The run took it each time, and those at calls waited with their memory until they were given up. With a crowd of 30 it hardly ever shows. Change: both ask for the same. No more run and call together than before, since starts went as far already. Test: with_a_small_crowd_..., red without the change (the third call waits, a run starts).

--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -7,6 +7,8 @@
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const SERVER: &[&str] = &[env!("CARGO_BIN_EXE_puffinladder-server")];
@@ -280,6 +282,75 @@
     assert!(!town.log.lock().iter().any(|line| line.contains("no connection accepted")));
 }
 
+/// Clients that connect as fast as they are accepted and never close: what the server ends stays half open. Some say
+/// nothing, some begin a message, some ask once and stay. Ends when told, with all that it holds.
+fn flood(server: std::net::SocketAddr, over: &AtomicBool) {
+    let mut held = std::collections::VecDeque::new();
+    while !over.load(Ordering::Relaxed) {
+        let Ok(mut stream) = std::net::TcpStream::connect(server) else { continue };
+        let says: &[u8] = match held.len() % 3 {
+            0 => b"",
+            1 => b"*5\r\n$4\r\nCA",
+            _ => b"*3\r\n$5\r\nCHECK\r\n$1\r\n1\r\n$0\r\n\r\n",
+        };
+        let _ = stream.write_all(says);
+        held.push_back(stream);
+        if held.len() > 1000 {
+            held.pop_front();
+        }
+    }
+}
+
+#[test]
+fn no_moment_of_a_flood_a_drain_or_a_new_life_holds_more_descriptors_than_were_given() {
+    const GIVEN: usize = 64;
+    // Its last moments are the ones in which all connections part while others still come.
+    let mut town = Town::open(SERVER, |told| {
+        told["limits"]["sockets"] = json!(GIVEN);
+        told["stop_ms"] = json!(1500);
+    });
+    let server = town.server;
+    let (over, most) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let process = AtomicUsize::new(town.child.id() as usize);
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| flood(server, &over));
+        }
+        // Looked at from outside, without a pause. A number is listed once, and new ones take the lowest that is free, so
+        // that one look never counts more than were open together.
+        scope.spawn(|| {
+            while !over.load(Ordering::Relaxed) {
+                let open = std::fs::read_dir(format!("/proc/{}/fd", process.load(Ordering::Relaxed)));
+                most.fetch_max(open.map_or(0, Iterator::count), Ordering::Relaxed);
+            }
+        });
+        let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            for _ in 0..2 {
+                // Calls that hang below, and two links to the agent, while the table is full.
+                let mut works = town.gateway();
+                for at in 0..12 {
+                    works.call("order", &KEY.replace("5c0f", &format!("00{at:02}")), b"call hang");
+                }
+                town.store.calls.wait("12 calls", |calls| (calls.len() >= 12).then_some(()));
+                town.store.calls.change(Vec::clear);
+                town.agent.cut();
+                town.agent.hears_times("subscribe", 2);
+                town.term();
+                assert!(town.end().success());
+                town.agent.anew(true);
+                town.start_again(SERVER);
+                process.store(town.child.id() as usize, Ordering::Relaxed);
+                town.agent.hears("sample", "");
+            }
+        }));
+        over.store(true, Ordering::Relaxed);
+        result.unwrap();
+    });
+    let most = most.into_inner();
+    println!("{most} descriptors of {GIVEN} at the most");
+    assert!((GIVEN / 2..=GIVEN).contains(&most), "{most} descriptors of {GIVEN}");
+}
+
 #[test]
 fn resets_behind_the_last_byte_by_the_hundred_leave_nothing_behind() {
     let town = town();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -406,8 +406,10 @@
         // A share under one call is kept as a mean, or a whole fleet's single calls would fell what is below.
         self.window = self.window.clamp(self.calls_least, self.calls_top);
         let in_hands = (self.calling + self.lingering.len()) as f64;
-        let mut room = (self.window.max(1.0) - in_hands).min(self.room(now));
-        while room >= 1.0 && self.calls_mean < self.window {
+        let mut room = self.window.max(1.0) - in_hands;
+        // As much of the crowd as a run needs to start, or with a small crowd new runs take every place that frees
+        // and those that stand at a call wait there, their memory held, until nobody wants them any more.
+        while room >= 1.0 && self.room(now) > 0.0 && self.calls_mean < self.window {
             let ready = |t: &Hand| t.stage == Stage::AtCall && !t.answered && t.ask_at <= now;
             let waiting = self.txns.iter().filter(|(_, t)| ready(t)).map(|(at, _)| (at, self.rank(at)));
             let Some((at, _)) = waiting.max_by(|a, b| order(a.1, b.1)) else { return };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -264,6 +264,25 @@
     assert_eq!(count(&host.pass(1.0), "call"), 8); // of the ten that two cores survive
 }
 
+#[test]
+fn with_a_small_crowd_those_who_stand_at_a_call_go_on_before_new_runs_start() {
+    // Two cores and a crowd of four, of which four may run or call: runs would take every place that frees.
+    let mut host = Host::new(&Charter { fall_multiple: 2.0, calls_share: 40.0, ..charter() });
+    // The lower its number, the longer one has waited.
+    let waited = |id: u32| Txn { unread: 0.1 - 0.01 * f64::from(id), ..txn(id, 0) };
+    host.arrive(&(1..=9).map(waited).collect::<Vec<_>>());
+    for id in 1..=3 {
+        let said = host.at_call(id);
+        assert_eq!((count(&said, &format!("call {id} ")), count(&said, "skip")), (1, 0), "{id}: {said:?}");
+    }
+    assert_eq!(host.count("run"), 4, "three calls and a run");
+    assert_eq!(host.count("call"), 3);
+    // All places are taken: the next one waits for one that comes back, which is within what the crowd bears.
+    let said = host.at_call(4);
+    assert_eq!((count(&said, "call 4 "), count(&said, "run")), (1, 0), "{said:?}");
+    assert_eq!(host.arrive(&[]), Vec::<String>::new());
+}
+
 #[test]
 fn rule_4_memory_is_cut_from_the_hold_lowest_worth_first() {
     let mut host = full(&charter());
