One bound on the descriptors of gateways' connections, from accept to close, also in a drain

Cause: Seat::part let any number of connections part once the process was to end (most = usize::MAX). In the last 50 ms all idle ones part at every beat, those among them that were accepted a moment ago and had not yet been read; each FIN made its gateway connect once more, a seat was free, and what parted kept its descriptor until its gateway closed or 1 s was over. Change: connections of gateways count from accept to close (Socket, Held), against one bound that is a part of what was given (limits.connections). At the bound the one that parts longest is closed, then an idle one begins to part, else the new one is turned away on the one spare descriptor. The bound of a 32nd on those that part is gone: they may all the room that is free. In the last 50 ms what has said nothing yet is not parted. Files and control services of the settings are taken off first.

--- a/crates/server/src/life/mod.rs
+++ b/crates/server/src/life/mod.rs
@@ -53,6 +53,9 @@
     pub tally: Tally,
 }
 
+/// Files that a recorder has open at once: the one it writes, the next one, a look at its folder.
+const TRACE_FILES: usize = 3;
+
 /// What the process cannot live without: if its coroutine ever ends, the process does, and is started anew.
 struct Vital(&'static str);
 
@@ -65,8 +68,7 @@
 }
 
 impl House {
-    pub fn new(warrant: Warrant, book: Book) -> Arc<House> {
-        let limits = Limits::new(&warrant);
+    pub fn new(warrant: Warrant, limits: Limits, book: Book) -> Arc<House> {
         let keys = Keys::new(limits.keys, limits.results, limits.key_grain, limits.key_over);
         // Keys lie in this process, within `limits.keys`: the machine's memory, which the module guards, books
         // nothing for them.
@@ -96,13 +98,14 @@
     let papers = Papers::told(told)?;
     let settings = papers::settings(told)?;
     let warrant = papers.read()?;
-    let limits = Limits::new(&warrant);
+    let files = settings.trace.as_ref().map_or(0, |_| TRACE_FILES);
+    let limits = Limits::new(&warrant, files + settings.publish.as_ref().map_or(0, |p| p.control.len()));
     journal::start(&limits, &settings.log)?;
     let terms = &warrant.terms;
     let counts = || Arc::new(Counts::new(terms.products.len(), terms.customers.len()));
     let counts = settings.publish.as_ref().map(|_| counts());
     let (book, recording) = recording::begin(settings.trace.as_ref(), &warrant, &limits, counts)?;
-    let house = House::new(warrant, book);
+    let house = House::new(warrant, limits, book);
     let (limits, listen) = (&house.limits, house.warrant.listen);
     // One core, one worker; it must not be tied to a core that other servers are tied to as well.
     let may = may::config();
@@ -137,7 +140,7 @@
         }
         // All answers are out by now. What the end of the process cut off would be reset, and answers with it.
         if now > kill - limits.last_close {
-            house.gateways.part_all();
+            house.gateways.part_all(kill - limits.last_close);
         }
         // Whoever keeps books closes them, so that none are open at the kill.
         if recording.is_some() && !closed && now > kill - limits.closing {
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -11,11 +11,13 @@
 
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Connections of gateways held at once: the half of the descriptors that they may take, and an eighth for
-    /// those of others. One more makes the idlest go; those on their way out may be so many, and so many that were to
-    /// go and got work meanwhile.
+    /// Connections of gateways with a seat: the half of the descriptors that they may take, and an eighth for
+    /// those of others. One more makes the idlest go, and so many that were to go may have got work meanwhile.
     pub gateways: usize,
     pub outgoing: usize,
+    /// Descriptors of all connections of gateways, those on their way out among them: at no moment more, also in a
+    /// drain, when all of them part.
+    pub connections: usize,
     /// Connections to the store.
     pub store: usize,
     /// Txns in hand; one more is declined at once, since each takes a coroutine.
@@ -109,8 +111,10 @@
 }
 
 impl Limits {
-    pub fn new(warrant: &Warrant) -> Limits {
-        let (sockets, memory) = (warrant.sockets, (warrant.memory_mb * 1048576.0) as usize);
+    /// `files`: descriptors that the settings ask for beside all that, a trace's files and control services.
+    pub fn new(warrant: &Warrant, files: usize) -> Limits {
+        let sockets = warrant.sockets.saturating_sub(files);
+        let memory = (warrant.memory_mb * 1048576.0) as usize;
         // Descriptors: those that the process can't do without are nobody else's, however many connect: standard
         // streams, pipe, listener, event loop, the agent's link and the one that replaces it, a report, the one that is
         // being accepted. Of the others a quarter is the store's and five eighths are the gateways'.
@@ -120,6 +124,7 @@
         Limits {
             gateways: (sockets * 5 / 8).min(rest).max(1),
             outgoing,
+            connections: (sockets * 5 / 8).min(rest).max(1) + 2 * outgoing,
             store: store.max(1),
             // Each may touch its whole stack and hold a body: at most 45% of the memory.
             txns: (memory * 45 / 100 / (32768 + 4096)).max(64),
--- a/crates/server/src/txn/tests.rs
+++ b/crates/server/src/txn/tests.rs
@@ -7,7 +7,9 @@
 #[test]
 fn a_panic_in_a_txn_still_answers_it_and_sets_its_key_free() {
     let warrant = puffinladder_charter::read_warrant(puffinladder_toy::town::EXAMPLE.as_bytes(), None, None);
-    let house = House::new(warrant.unwrap(), Book::default());
+    let warrant = warrant.unwrap();
+    let limits = crate::limits::Limits::new(&warrant, 0);
+    let house = House::new(warrant, limits, Book::default());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let connection = Connection::new(&house, &TcpStream::connect(listener.local_addr().unwrap()).unwrap());
     let (slip, waits, key) = (Arc::new(Slip::default()), Arc::new(Slip::default()), [b'a'; 32]);
--- a/crates/server/src/wire/gateway.rs
+++ b/crates/server/src/wire/gateway.rs
@@ -22,7 +22,9 @@
     connections: Mutex<HashMap<usize, Arc<Connection>>>,
     /// Those that no longer have a seat: ended from here and read to their end, oldest first.
     parting: Mutex<VecDeque<Arc<Connection>>>,
-    /// Where the listener waits for a seat.
+    /// Descriptors that connections of gateways hold, with a seat or parting: counted from accept to close.
+    held: AtomicUsize,
+    /// Where the listener waits for a seat or a descriptor.
     room: Chores,
     unsent: AtomicUsize,
 }
@@ -240,11 +242,13 @@
         }
     }
 
-    /// Ends all connections on which nothing is owed, so that none is cut off by the end of the process.
-    pub fn part_all(&self) {
+    /// Ends all connections on which nothing is owed, so that none is cut off by the end of the process. One that came
+    /// after `since` and has said nothing yet is left to say it: ended, its gateway would only come once more.
+    pub fn part_all(&self, since: f64) {
         for connection in self.lock().values() {
             let mut state = connection.lock();
-            if state.idle() && !state.parting {
+            let new = state.messages == 0 && state.since > since;
+            if state.idle() && !state.parting && !new {
                 state.parting = true;
                 connection.waker.wakeup();
             }
@@ -269,14 +273,18 @@
         true
     }
 
-    /// A connection has lost its seat. Those that part longest make way: descriptors are for who comes with work.
-    fn parts(&self, connection: &Arc<Connection>, most: usize) {
-        let mut parting = lock(&self.parting);
-        parting.push_back(connection.clone());
-        while parting.len() > most {
-            let Some(oldest) = parting.pop_front() else { return };
-            oldest.waker.wakeup();
+    /// Whether one more descriptor may be held. If not, the connection that parts longest ends, or an idle one begins
+    /// to part: descriptors are for who comes with work. With all at work one more is taken only to be turned away,
+    /// on the descriptor that the process keeps for that.
+    fn free(&self, most: usize) -> bool {
+        if self.held.load(Ordering::Relaxed) < most {
+            return true;
         }
+        match lock(&self.parting).pop_front() {
+            Some(oldest) => oldest.waker.wakeup(),
+            None => return !self.make_room(),
+        }
+        false
     }
 
     /// Whether a connection may go on parting.
@@ -298,23 +306,28 @@
 pub fn listen(house: &Arc<House>, listener: TcpListener) {
     let mut serial = 0;
     loop {
+        while !house.gateways.free(house.limits.connections) {
+            house.gateways.room.wait();
+        }
         match listener.accept() {
             Ok((stream, _)) => {
                 serial += 1;
                 let _ = stream.set_nodelay(true);
                 // One that was to make room may have got work meanwhile, so that there are a few over the seats.
                 let over = house.gateways.count().saturating_sub(house.limits.gateways - 1);
-                if over > house.limits.outgoing || over > 0 && !house.gateways.make_room() {
+                let full = house.gateways.held.load(Ordering::Relaxed) >= house.limits.connections;
+                if full || over > house.limits.outgoing || over > 0 && !house.gateways.make_room() {
                     house.tally.complain(
                         house,
                         format_args!("gateway: no seat for a new connection, all are at work"),
                     );
                     continue;
                 }
-                let connection = Arc::new(Connection::new(house, &stream));
+                let socket = Socket::new(house, stream);
+                let connection = Arc::new(Connection::new(house, &socket.stream));
                 house.gateways.lock().insert(serial, connection.clone());
                 let seat = Seat { house: house.clone(), connection, serial };
-                may::go!(move || serve(&seat, &stream));
+                may::go!(move || attend(&seat, socket));
                 // The new one is read, and the one that made room has ended or got work, before the next comes: whoever
                 // only yields here goes first again, and none of them would get to run.
                 coroutine::yield_now();
@@ -332,6 +345,29 @@
     }
 }
 
+/// A gateway's socket, whose descriptor counts until it is closed.
+struct Socket {
+    // Fields are dropped in their order: closed first, then no longer counted.
+    stream: TcpStream,
+    _held: Held,
+}
+
+impl Socket {
+    fn new(house: &Arc<House>, stream: TcpStream) -> Socket {
+        house.gateways.held.fetch_add(1, Ordering::Relaxed);
+        Socket { stream, _held: Held(house.clone()) }
+    }
+}
+
+struct Held(Arc<House>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.gateways.held.fetch_sub(1, Ordering::Relaxed);
+        self.0.gateways.room.ring();
+    }
+}
+
 /// A connection's place among the others; whatever ends it, its txns count as gone.
 struct Seat {
     house: Arc<House>,
@@ -356,9 +392,7 @@
     fn part(&self, stream: &TcpStream) {
         let (house, connection) = (&*self.house, &self.connection);
         self.leave();
-        // At the end of the process all part together, and nobody comes who would need their descriptors.
-        let most = if house.desk.kill().is_some() { usize::MAX } else { house.limits.outgoing };
-        house.gateways.parts(connection, most);
+        lock(&house.gateways.parting).push_back(connection.clone());
         let (until, mut left) = (house.clock.now() + house.limits.parting, house.limits.parting_bytes);
         let mut ended = false;
         loop {
@@ -399,6 +433,11 @@
     }
 }
 
+/// The life of a connection. The socket is handed over whole: a closure would take its parts, and count it no more.
+fn attend(seat: &Seat, socket: Socket) {
+    serve(seat, &socket.stream);
+}
+
 fn serve(seat: &Seat, stream: &TcpStream) {
     match talk(&seat.house, stream, &seat.connection) {
         Ok(End::Gone) => {}
--- a/crates/server/src/wire/gateway/tests.rs
+++ b/crates/server/src/wire/gateway/tests.rs
@@ -4,8 +4,9 @@
 /// The example's house, and a connection to a listener of its own.
 fn house() -> (Arc<House>, std::net::TcpListener, TcpStream) {
     let example = puffinladder_toy::town::EXAMPLE.as_bytes();
-    let house =
-        House::new(puffinladder_charter::read_warrant(example, None, None).unwrap(), Default::default());
+    let warrant = puffinladder_charter::read_warrant(example, None, None).unwrap();
+    let limits = crate::limits::Limits::new(&warrant, 0);
+    let house = House::new(warrant, limits, Default::default());
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     (house, listener, stream)
@@ -114,11 +115,38 @@
 }
 
 #[test]
-fn connections_that_part_are_few_and_the_longest_makes_way() {
+fn with_all_descriptors_held_the_connection_that_parts_longest_makes_way_and_then_an_idle_one() {
     let (house, seat, ..) = seated();
     let (_, other, ..) = seated();
-    house.gateways.parts(&seat.connection, 1);
-    assert!(house.gateways.parting(&seat.connection));
-    house.gateways.parts(&other.connection, 1);
-    assert!(!house.gateways.parting(&seat.connection) && house.gateways.parting(&other.connection));
+    let (gateways, most) = (&house.gateways, house.limits.connections);
+    lock(&gateways.parting).extend([seat.connection.clone(), other.connection.clone()]);
+    gateways.held.store(most - 1, Ordering::Relaxed);
+    assert!(gateways.free(most) && gateways.parting(&seat.connection), "nobody ends while there is room");
+    gateways.held.store(most, Ordering::Relaxed);
+    assert!(!gateways.free(most));
+    assert!(!gateways.parting(&seat.connection) && gateways.parting(&other.connection));
+    assert!(!gateways.free(most) && !gateways.parting(&other.connection));
+    // Nobody parts any more: the idle one is to. One at work is not, and the new one is turned away.
+    assert!(!gateways.free(most) && std::mem::take(&mut seat.connection.lock().parting));
+    seat.connection.open(1, &Arc::default());
+    assert!(gateways.free(most) && !seat.connection.lock().parting);
+}
+
+#[test]
+fn a_socket_counts_until_it_is_closed_whatever_ends_it() {
+    let (house, seat, stream, gateway) = seated();
+    let socket = Socket::new(&house, stream);
+    assert_eq!(house.gateways.held.load(Ordering::Relaxed), 1);
+    drop(gateway);
+    may::go!(move || attend(&seat, socket)).join().unwrap();
+    assert_eq!(house.gateways.held.load(Ordering::Relaxed), 0);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let socket = Socket::new(&house, stream);
+    let died = may::go!(move || {
+        let _socket = socket;
+        panic!("as a connection might");
+    });
+    assert!(died.join().is_err());
+    assert_eq!(house.gateways.held.load(Ordering::Relaxed), 0);
 }
--- a/crates/server/src/wire/store/tests.rs
+++ b/crates/server/src/wire/store/tests.rs
@@ -8,7 +8,8 @@
     let example = puffinladder_toy::town::EXAMPLE
         .replace("127.0.0.1:7700", &listener.local_addr().unwrap().to_string());
     let warrant = puffinladder_charter::read_warrant(example.as_bytes(), None, None).unwrap();
-    let house = House::new(warrant, Default::default());
+    let limits = crate::limits::Limits::new(&warrant, 0);
+    let house = House::new(warrant, limits, Default::default());
     let slip = Arc::new(Slip::default());
     // The call waits for this lock before it looks for a place, and is given up meanwhile.
     let places = lock(&house.store.places);
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -339,6 +339,8 @@
                 assert!(town.end().success());
                 town.agent.anew(true);
                 town.start_again(SERVER);
+                // Until it has begun its own work it shows what it was started with, the flood's ends among that.
+                town.logs("listens on");
                 process.store(town.child.id() as usize, Ordering::Relaxed);
                 town.agent.hears("sample", "");
             }
