Hollow servers and callers: many in one process, for their control traffic alone

Need: 730 servers and 9,100 callers do not fit on a machine as processes, and the control side is to be measured with all of them.

The form of a server's report moves from the serving process into crates/reports, which both link; a hollow server publishes by it with the serving process's bounds, and holds a Seat towards stewards. A hollow caller is the stand-in proxy, which now bounds what it remembers of plans, requests and names, leaves a service that does not answer HTTP/2's pings, and tells whoever counts.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod check;
 mod control;
 mod fleet;
+mod hollow;
 mod measure;
 mod prove;
 mod say;
@@ -72,6 +73,8 @@
     Steward(fleet::steward::Line),
     /// Take gathered traces in, each piece once
     Archive(fleet::archive::Line),
+    /// Play many servers or callers in one process, for their control traffic
+    Hollow(hollow::Line),
     /// Start many processes, put faults between them, and check what they did
     Prove(prove::Line),
     /// Ask, cut, merge, veil and mend traces
@@ -109,6 +112,7 @@
         Command::Duties(line) => fleet::duties::run(line),
         Command::Steward(line) => fleet::steward::run(line),
         Command::Archive(line) => fleet::archive::run(line),
+        Command::Hollow(line) => hollow::run(line),
         Command::Prove(line) => prove::run(line),
         Command::Trace { command } => trace::run(command),
         Command::Completions { shell } => {
--- a/crates/server/src/life/publish.rs
+++ b/crates/server/src/life/publish.rs
@@ -4,29 +4,13 @@
 use super::House;
 use crate::memory::counts::Counts;
 use puffinladder_charter::settings::Publish;
-use serde_json::{json, Value};
+use puffinladder_reports::{Class, State, Who, WAIT};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// How long a connection may take to open, and a line to leave.
-const WAIT: Duration = Duration::from_millis(200);
-
-/// What does not change while the process lives.
-struct Who {
-    instance: String,
-    incarnation: u64,
-    zone: String,
-    address: SocketAddr,
-    cores: f64,
-    cold: Option<f64>,
-    cold_share: f64,
-    products: Vec<(String, f64)>,
-    customers: Vec<String>,
-}
-
 /// Starts to publish; the process ends without waiting for it.
 pub fn begin(told: &Publish, house: &Arc<House>, listens: SocketAddr) -> Result<(), String> {
     let Some(counts) = house.desk.book.counts().cloned() else { return Ok(()) };
@@ -41,7 +25,7 @@
         cold: charter.cold.then_some(charter.cold_span).filter(|span| *span > 0.0),
         cold_share: charter.cold_share,
         products: warrant.terms.products.iter().cloned().zip(charter.products.iter().map(worth)).collect(),
-        customers: warrant.terms.customers.clone(),
+        customers: warrant.terms.customers.as_slice().into(),
     };
     let (control, every) = (told.control.clone(), Duration::from_secs_f64(told.every));
     let builder = thread::Builder::new().name("publish".into()).stack_size(house.limits.stack_recorder);
@@ -57,7 +41,7 @@
     for sequence in 1u64.. {
         thread::sleep(every);
         let made = begun.elapsed().as_secs_f64();
-        let line = format!("{}\n", report(who, counts, house, sequence, made, every.as_secs_f64()));
+        let line = who.line(&state(counts, house, every.as_secs_f64()), sequence, made);
         let mut any = false;
         // Each service gets all: they agree on nothing among themselves.
         for (at, stream) in control.iter().zip(&mut streams) {
@@ -79,23 +63,23 @@
     }
 }
 
-fn report(who: &Who, counts: &Counts, house: &House, sequence: u64, made: f64, span: f64) -> Value {
-    let state = counts.take(span);
-    let warmth = match who.cold {
-        Some(cold) => (who.cold_share + (1.0 - who.cold_share) * made / cold).min(1.0),
-        None => 1.0,
+fn state(counts: &Counts, house: &House, span: f64) -> State {
+    let taken = counts.take(span);
+    let class = |&(product, customer, asked, declined): &(usize, usize, f64, f64)| Class {
+        product,
+        customer,
+        asked,
+        declined,
     };
-    let class = |(product, customer, asked, declined): &(usize, usize, f64, f64)| {
-        let (name, worth) = &who.products[*product];
-        let customer = who.customers.get(*customer).map_or("", String::as_str);
-        json!({"product": name, "customer": customer, "worth": worth, "asked": asked, "declined": declined})
-    };
-    json!({
-        "instance": who.instance, "incarnation": who.incarnation, "sequence": sequence, "made": made,
-        "zone": who.zone, "address": who.address, "cores": who.cores,
-        "limit": state.limit.max(1.0), "running": house.desk.running(), "takes": state.takes,
-        "pressure": state.pressure, "retry_after": state.retry_after, "healthy": state.healthy,
-        "leaving": state.kill.map(|kill| (kill - house.clock.now()).max(0.0)), "warmth": warmth, "settled": state.settled,
-        "classes": state.classes.iter().map(class).collect::<Vec<_>>(),
-    })
+    State {
+        limit: taken.limit,
+        running: house.desk.running(),
+        takes: taken.takes,
+        pressure: taken.pressure,
+        retry_after: taken.retry_after,
+        healthy: taken.healthy,
+        leaving: taken.kill.map(|kill| (kill - house.clock.now()).max(0.0)),
+        settled: taken.settled,
+        classes: taken.classes.iter().map(class).collect(),
+    }
 }
--- a/examples/proxy/src/lib.rs
+++ b/examples/proxy/src/lib.rs
@@ -13,7 +13,7 @@
 };
 use envoy_types::pb::google::{protobuf::Any, rpc::Status as Fault};
 use prost::{Message, Name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -47,6 +47,72 @@
     pub lies: bool,
 }
 
+/// What happens to it, for whoever counts.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// A stream stands, and a stream is over.
+    Opened,
+    Ended,
+    /// Bytes of a message, with the five that gRPC puts before it.
+    Sent(usize),
+    Received(usize),
+    /// It took a response and said so.
+    Acked(&'a Acked<'a>),
+}
+
+/// A response that was taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Acked<'a> {
+    pub service: SocketAddr,
+    /// Its type's place in [`TYPES`], none if it is of another.
+    pub kind: Option<usize>,
+    pub plan: &'a str,
+    /// The least lease of its pieces.
+    pub ttl: Option<Duration>,
+    /// It had content, and not leases alone.
+    pub bodies: bool,
+    pub opened: Instant,
+    pub received: Instant,
+}
+
+/// Is told what happens; it may not wait.
+pub type Ears = Arc<dyn Fn(&Event) + Send + Sync>;
+
+/// Plans and times of requests that are remembered, names that are held: what a service sends is bounded by these.
+const PLANS: usize = 128;
+const SENT: usize = 256;
+const NAMES: usize = 16_384;
+/// Bytes of a message, and what gRPC puts before each.
+const LONGEST: usize = 64 << 20;
+const PREFIX: usize = 5;
+/// A service that does not answer a question of HTTP/2 for so long is hung; asked as often.
+const ALIVE: Duration = Duration::from_secs(5);
+
+/// When requests of the present stream were sent: all are counted, the first and the latest are known.
+#[derive(Default)]
+struct Sent {
+    count: usize,
+    first: Option<Instant>,
+    times: VecDeque<Instant>,
+}
+
+impl Sent {
+    fn push(&mut self, at: Instant) {
+        self.count += 1;
+        self.first.get_or_insert(at);
+        self.times.push_back(at);
+        if self.times.len() > SENT {
+            self.times.pop_front();
+        }
+    }
+    /// When the request of that number was sent, from 1 on. For one that is no longer known the first has to do: a lease may
+    /// be counted from too early, never from too late.
+    fn at(&self, number: usize) -> Option<Instant> {
+        let back = self.count.checked_sub(number).filter(|_| number > 0)?;
+        self.times.iter().rev().nth(back).copied().or(self.first)
+    }
+}
+
 /// What it holds of one type, by name.
 #[derive(Clone, Debug)]
 struct Held {
@@ -61,13 +127,13 @@
 struct State {
     held: BTreeMap<(String, String), Held>,
     /// When each request on the present stream was sent.
-    sent: Vec<Instant>,
+    sent: Sent,
     /// Responses with bodies, renewals, bytes of all, since it began.
     responses: u64,
     renewals: u64,
     bytes: u64,
-    /// Plans that it saw, in the order in which they came.
-    plans: Vec<String>,
+    /// The latest plans that it saw, in the order in which they came.
+    plans: VecDeque<String>,
 }
 
 /// Where a request goes.
@@ -87,6 +153,9 @@
     state: Arc<Mutex<State>>,
     habit: watch::Sender<Habit>,
     tls: Option<ClientTlsConfig>,
+    node: Node,
+    incremental: bool,
+    ears: Option<Ears>,
 }
 
 /// What is told of a response, of either protocol.
@@ -120,34 +189,54 @@
         incremental: bool,
         tls: Option<ClientTlsConfig>,
     ) -> Proxy {
-        let (habit, habits) = watch::channel(Habit::default());
-        let proxy = Proxy { state: Arc::default(), habit, tls };
-        let node = Node {
-            id: node.into(),
-            locality: Some(Locality { zone: zone.into(), ..Default::default() }),
-            user_agent_name: "puffinladder stand-in".into(),
-            ..Default::default()
-        };
+        let proxy = Proxy { tls, ..Proxy::new(node, "", zone, incremental) };
         let run = proxy.clone();
         tokio::spawn(async move {
-            let mut habits = habits;
+            let mut habits = run.habit.subscribe();
             for at in (0..control.len()).cycle() {
                 while habits.borrow().off {
                     if habits.changed().await.is_err() {
                         return;
                     }
                 }
-                let _ = run.connect(control[at], &node, incremental, &mut habits).await;
-                run.lock().sent.clear();
+                let _ = run.follow(control[at]).await;
                 tokio::time::sleep(Duration::from_millis(50)).await;
-                if habits.has_changed().is_err() {
-                    return;
-                }
             }
         });
         proxy
     }
 
+    /// One that is not connected: whoever has it calls [`Proxy::follow`].
+    pub fn new(node: &str, service: &str, zone: &str, incremental: bool) -> Proxy {
+        let node = Node {
+            id: node.into(),
+            cluster: service.into(),
+            locality: Some(Locality { zone: zone.into(), ..Default::default() }),
+            user_agent_name: "puffinladder stand-in".into(),
+            ..Default::default()
+        };
+        let habit = watch::Sender::new(Habit::default());
+        Proxy { state: Arc::default(), habit, tls: None, node, incremental, ears: None }
+    }
+
+    /// The same, and what happens to it is told there.
+    pub fn heard(self, ears: Ears) -> Proxy {
+        Proxy { ears: Some(ears), ..self }
+    }
+
+    fn tell(&self, event: &Event) {
+        if let Some(ears) = &self.ears {
+            ears(event);
+        }
+    }
+
+    /// One stream with one service, until it ends or is broken off; what it holds it keeps.
+    pub async fn follow(&self, control: SocketAddr) -> Result<(), tonic::Status> {
+        let ended = self.connect(control, &mut self.habit.subscribe()).await;
+        self.lock().sent = Sent::default();
+        ended
+    }
+
     pub fn habit(&self, habit: Habit) {
         let _ = self.habit.send(habit);
     }
@@ -159,19 +248,22 @@
     async fn connect(
         &self,
         control: SocketAddr,
-        node: &Node,
-        incremental: bool,
         habits: &mut watch::Receiver<Habit>,
     ) -> Result<(), tonic::Status> {
+        let node = &self.node;
         let wrong = |e: tonic::transport::Error| tonic::Status::unavailable(e.to_string());
         let scheme = if self.tls.is_some() { "https" } else { "http" };
         let mut endpoint = Endpoint::from_shared(format!("{scheme}://{control}")).map_err(wrong)?;
         if let Some(tls) = &self.tls {
             endpoint = endpoint.tls_config(tls.clone()).map_err(wrong)?;
         }
-        let channel = endpoint.connect_timeout(Duration::from_secs(1)).connect().await.map_err(wrong)?;
-        let mut client = AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(64 << 20);
-        if incremental {
+        let endpoint = endpoint.connect_timeout(Duration::from_secs(1)).tcp_nodelay(true);
+        // A service that hangs is left for another.
+        let endpoint =
+            endpoint.http2_keep_alive_interval(ALIVE).keep_alive_timeout(ALIVE).keep_alive_while_idle(true);
+        let channel = endpoint.connect().await.map_err(wrong)?;
+        let mut client = AggregatedDiscoveryServiceClient::new(channel).max_decoding_message_size(LONGEST);
+        if self.incremental {
             let (out, requests) = mpsc::channel::<DeltaDiscoveryRequest>(64);
             for kind in TYPES {
                 let held = self.lock().held.clone().into_iter().filter(|((of, _), _)| of == kind);
@@ -204,7 +296,7 @@
                     error_detail: fault,
                     ..Default::default()
                 };
-            self.talk(&mut answers, &out, habits, read, answer).await
+            self.talk(control, &mut answers, &out, habits, read, answer).await
         } else {
             let (out, requests) = mpsc::channel::<DiscoveryRequest>(64);
             for kind in TYPES {
@@ -237,23 +329,37 @@
                 version_info: plan,
                 ..Default::default()
             };
-            self.talk(&mut answers, &out, habits, read, answer).await
+            self.talk(control, &mut answers, &out, habits, read, answer).await
         }
     }
 
-    async fn send<Q>(&self, out: &mpsc::Sender<Q>, request: Q) -> Result<(), tonic::Status> {
+    async fn send<Q: Message>(&self, out: &mpsc::Sender<Q>, request: Q) -> Result<(), tonic::Status> {
         self.lock().sent.push(Instant::now());
-        out.send(request).await.map_err(|_| tonic::Status::unavailable("the stream ended"))
+        let size = request.encoded_len();
+        out.send(request).await.map_err(|_| tonic::Status::unavailable("the stream ended"))?;
+        self.tell(&Event::Sent(size + PREFIX));
+        Ok(())
     }
 
-    async fn talk<A, Q>(
+    async fn talk<A, Q: Message>(
         &self,
+        control: SocketAddr,
         answers: &mut tonic::Streaming<A>,
         out: &mpsc::Sender<Q>,
         habits: &mut watch::Receiver<Habit>,
         read: impl Fn(A) -> Told,
         answer: impl Fn(String, String, Option<Fault>, String) -> Q,
     ) -> Result<(), tonic::Status> {
+        /// Says that the stream is over, also where the task of its proxy ends in the middle.
+        struct Stream<'a>(&'a Proxy);
+        impl Drop for Stream<'_> {
+            fn drop(&mut self) {
+                self.0.tell(&Event::Ended);
+            }
+        }
+        let opened = Instant::now();
+        self.tell(&Event::Opened);
+        let _stream = Stream(self);
         loop {
             let habit = *habits.borrow_and_update();
             if habit.off {
@@ -268,10 +374,15 @@
                 _ = habits.changed() => continue,
             };
             let Some(told) = told.map(&read) else { return Ok(()) };
+            let received = Instant::now();
+            self.tell(&Event::Received(told.size + PREFIX));
             let (kind, nonce, plan) = (told.kind.clone(), told.nonce.clone(), told.plan.clone());
-            let refused = habit.refuses && told.pieces.iter().any(|piece| piece.resource.is_some());
-            if !refused {
-                self.take(told);
+            let bodies = told.pieces.iter().any(|piece| piece.resource.is_some());
+            let ttls = told.pieces.iter().filter_map(|piece| piece.ttl);
+            let ttl = ttls.map(|ttl| Duration::new(ttl.seconds.max(0) as u64, ttl.nanos.max(0) as u32)).min();
+            let refused = habit.refuses && bodies;
+            if !refused && !self.take(told) {
+                return Err(tonic::Status::resource_exhausted("more names than are held"));
             }
             if habit.never_acks {
                 continue;
@@ -280,19 +391,27 @@
             let nonce = if habit.lies { format!("9999{nonce}") } else { nonce };
             let fault =
                 refused.then(|| Fault { code: 3, message: "as scripted".into(), details: Vec::new() });
-            self.send(out, answer(kind, nonce, fault, plan)).await?;
+            let at = TYPES.iter().position(|of| *of == kind);
+            self.send(out, answer(kind, nonce, fault, plan.clone())).await?;
+            if !refused && !habit.lies {
+                let (service, plan) = (control, plan.as_str());
+                self.tell(&Event::Acked(&Acked { service, kind: at, plan, ttl, bodies, opened, received }));
+            }
         }
     }
 
-    /// Takes a response in. Its lease counts from the last request that it had seen.
-    fn take(&self, told: Told) {
+    /// Takes a response in, unless it holds too much by then. Its lease counts from the last request that it had seen.
+    fn take(&self, told: Told) -> bool {
         let mut state = self.lock();
         let seen = told.nonce.split_once('.').and_then(|(_, heard)| heard.parse::<usize>().ok());
-        let since = seen.and_then(|seen| state.sent.get(seen.checked_sub(1)?).copied());
+        let since = seen.and_then(|seen| state.sent.at(seen));
         let since = since.unwrap_or_else(Instant::now);
         state.bytes += told.size as u64;
-        if state.plans.last() != Some(&told.plan) {
-            state.plans.push(told.plan.clone());
+        if state.plans.back() != Some(&told.plan) {
+            state.plans.push_back(told.plan.clone());
+        }
+        if state.plans.len() > PLANS {
+            state.plans.pop_front();
         }
         let bodies = told.pieces.iter().filter(|piece| piece.resource.is_some()).count();
         *if bodies > 0 { &mut state.responses } else { &mut state.renewals } += 1;
@@ -324,6 +443,7 @@
         if told.whole {
             state.held.retain(|(kind, name), _| *kind != told.kind || names.contains(name));
         }
+        state.held.len() <= NAMES
     }
 
     /// Where a request of this product and customer goes now; the draws, from 0 to under 1, are the caller's chance.
@@ -365,8 +485,17 @@
         let state = self.lock();
         (state.responses, state.renewals, state.bytes)
     }
+    /// The latest plans that it saw.
     pub fn plans(&self) -> Vec<String> {
-        self.lock().plans.clone()
+        self.lock().plans.iter().cloned().collect()
+    }
+    /// Whether it may route now: leases of endpoints and routes hold.
+    pub fn holds(&self) -> bool {
+        let (state, now) = (self.lock(), Instant::now());
+        let valid = |kind: &str| {
+            state.held.iter().any(|((of, _), held)| of == kind && held.until.is_some_and(|until| now < until))
+        };
+        valid(ENDPOINTS) && valid(ROUTES)
     }
 }
 
