--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,7 @@
+//! What each role of a fleet costs at a planned size, worked out from points that were measured. No I/O, no clock:
+//! the same points and the same plan give the same page.
+//!
+//! - [`point`]: what was measured, as it stands in a file.
+#![forbid(unsafe_code)]
+
+pub mod point;
