Shapes of a cost along one dimension, judged by predicting the largest size

A figure of the capacity page has to come from a slope whose error is known. The largest size of a series is left out, constant, linear, n log n and n squared are fitted to the rest by least squares on the relative error, and the simplest is taken that predicts the left-out size; none within a quarter: unknown. All shapes that the points can't tell apart are kept for the span. Also the role config, for whoever brings changes to the servers.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -2,6 +2,8 @@
 //! the same points and the same plan give the same page.
 //!
 //! - [`point`]: what was measured, as it stands in a file.
+//! - [`fit`]: how a cost grows along one dimension.
 #![forbid(unsafe_code)]
 
+pub mod fit;
 pub mod point;
--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -8,8 +8,10 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// Roles that a point may be of; `module` is the decision module's round alone, without a process round it.
-pub const ROLES: [&str; 9] = [
+/// Roles that a point may be of; `module` is the decision module's round alone, without a process round it, `config`
+/// whoever brings changes of configuration to the servers.
+pub const ROLES: [&str; 10] = [
+    "config",
     "server",
     "control",
     "proxy",
@@ -37,6 +39,10 @@
 ];
 
 /// What is measured of a process, and in what.
+///
+/// A latency is of what the role is there for: at a `server` what it adds to a request, at `control` from a server's
+/// changed report to the last caller that goes by it, at `config` from a change that was accepted to the last server
+/// that has it in force, at a keeper or steward from a line to its answer, at the `module` one round.
 pub const MEASURES: [(&str, &str); 13] = [
     ("cpu", "cores"),
     ("memory", "bytes resident"),
