--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -292,18 +292,19 @@
     let best = tried.iter().map(|(_, error)| *error).fold(f64::INFINITY, f64::min);
     let scatter = scatter(samples, &sizes, floor);
     let noise = noise(scatter);
+    let residual = |law: &Law| {
+        let off = |s: &Sample| ((law.at(s.size) - s.value) / against(s.value, floor)).powi(2);
+        (samples.iter().map(off).sum::<f64>() / samples.len() as f64).sqrt()
+    };
     let keep = |(shape, error): &(Shape, f64)| {
-        holds(*error, best, noise).then(|| law(*shape, samples, floor)).flatten()
+        let law = law(*shape, samples, floor).filter(|law| residual(law) <= WRONG);
+        law.filter(|_| holds(*error, best, noise))
     };
     let holding: Vec<Law> = tried.iter().filter_map(keep).collect();
     let unknown = Law { shape: Shape::Unknown, a: 0.0, b: 0.0, top };
     let chosen = holding.first().copied().unwrap_or(unknown);
     let error = tried.iter().find(|(shape, _)| *shape == chosen.shape).map_or(best, |(_, error)| *error);
-    let off = |s: &Sample| (chosen.at(s.size) - s.value) / against(s.value, floor);
-    let residual = match chosen.shape {
-        Shape::Unknown => 0.0,
-        _ => (samples.iter().map(|s| off(s).powi(2)).sum::<f64>() / samples.len() as f64).sqrt(),
-    };
+    let residual = holding.first().map_or(0.0, residual);
     Some(Fit { law: chosen, error, scatter, residual, holding, tried, sizes })
 }
 
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! - [`point`]: what was measured, as it stands in a file.
 //! - [`fit`]: how a cost grows along one dimension.
+//! - [`estimate`]: what a role costs at a size, with its span of error.
 #![forbid(unsafe_code)]
 
+pub mod estimate;
 pub mod fit;
 pub mod point;
