--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -15,7 +15,8 @@
 //! rise. A figure that is open above can break a budget but never keep one.
 
 use crate::fit::{self, against, floor_of, holds, least_squares, noise, Fit, Series, Shape, WRONG};
-use crate::point::{Point, Points};
+use crate::point::{Point, Points, MEASURES};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 pub type Sizes = BTreeMap<String, f64>;
@@ -218,32 +219,44 @@
 
 /// What was measured of a role, ready to be asked.
 pub struct Costs<'p> {
-    roles: BTreeMap<&'p str, (Vec<Series<'p>>, Vec<&'p Point>)>,
+    roles: BTreeMap<&'p str, (Vec<Fitted<'p>>, Vec<&'p Point>)>,
+    /// What was asked before: machines alike ask alike, and a growing plan asks often.
+    asked: RefCell<BTreeMap<Asked, Estimate>>,
+}
+
+/// A role, a measure, and sizes by their bits.
+type Asked = (String, String, Vec<(String, u64)>);
+
+/// A series and each of its measures that could be fitted.
+pub struct Fitted<'p> {
+    pub series: Series<'p>,
+    pub fits: BTreeMap<&'static str, Fit>,
 }
 
 /// One fitted dimension.
 struct Along<'s, 'p> {
     series: &'s Series<'p>,
-    fit: Fit,
+    fit: &'s Fit,
 }
 
 impl<'p> Costs<'p> {
     pub fn of(points: &'p Points) -> Costs<'p> {
-        let mut roles: BTreeMap<&str, (Vec<Series>, Vec<&Point>)> = BTreeMap::new();
+        let mut roles: BTreeMap<&str, (Vec<Fitted>, Vec<&Point>)> = BTreeMap::new();
         for series in fit::series(&points.points) {
-            roles.entry(series.role).or_default().0.push(series);
+            let fits = MEASURES.iter().filter_map(|(name, _)| Some((*name, series.fit(name)?))).collect();
+            roles.entry(series.role).or_default().0.push(Fitted { series, fits });
         }
         for point in &points.points {
             roles.entry(&point.role).or_default().1.push(point);
         }
-        Costs { roles }
+        Costs { roles, asked: RefCell::default() }
     }
 
     pub fn has(&self, role: &str) -> bool {
         self.roles.contains_key(role)
     }
 
-    pub fn series(&self, role: &str) -> &[Series<'p>] {
+    pub fn series(&self, role: &str) -> &[Fitted<'p>] {
         self.roles.get(role).map_or(&[], |(series, _)| series)
     }
 
@@ -284,6 +297,17 @@
 
     /// What one process of the role costs at a size.
     pub fn at(&self, role: &str, measure: &str, at: &Sizes) -> Estimate {
+        let sizes = at.iter().map(|(key, n)| (key.clone(), n.to_bits())).collect();
+        let asked = (role.to_owned(), measure.to_owned(), sizes);
+        let known = self.asked.borrow().get(&asked).cloned();
+        known.unwrap_or_else(|| {
+            let told = self.work_out(role, measure, at);
+            self.asked.borrow_mut().insert(asked, told.clone());
+            told
+        })
+    }
+
+    fn work_out(&self, role: &str, measure: &str, at: &Sizes) -> Estimate {
         let Some((series, points)) = self.roles.get(role) else {
             return Estimate::nothing(format!("{role}: not measured"));
         };
@@ -393,21 +417,21 @@
     /// Of each dimension that was fitted the series nearest to the plan, and of those the one with most sizes.
     fn dimensions<'s>(
         &self,
-        series: &'s [Series<'p>],
+        series: &'s [Fitted<'p>],
         measure: &str,
         at: &Sizes,
     ) -> BTreeMap<&'p str, Along<'s, 'p>> {
         let mut along: BTreeMap<&str, Along> = BTreeMap::new();
         for one in series {
-            let Some(fit) = one.fit(measure) else { continue };
+            let Some(fit) = one.fits.get(measure) else { continue };
             let rank = |one: &Along| (apart(&one.series.held, at), usize::MAX - one.fit.sizes.len());
-            let new = Along { series: one, fit };
-            let nearer = along.get(one.varied).is_none_or(|old| {
+            let new = Along { series: &one.series, fit };
+            let nearer = along.get(one.series.varied).is_none_or(|old| {
                 let ((a, m), (b, n)) = (rank(&new), rank(old));
                 a.total_cmp(&b).then(m.cmp(&n)).is_lt()
             });
             if nearer {
-                along.insert(one.varied, new);
+                along.insert(one.series.varied, new);
             }
         }
         along
--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -248,11 +248,15 @@
 }
 
 /// Pooled relative scatter of what was measured more than once at one size.
-fn scatter(samples: &[Sample], sizes: &[f64], floor: f64) -> Option<f64> {
+fn scatter(samples: &[Sample], floor: f64) -> Option<f64> {
     let (mut sum, mut degrees) = (0.0, 0.0);
-    for &size in sizes {
-        let here: Vec<f64> = samples.iter().filter(|s| s.size == size).map(|s| s.value).collect();
-        let mean = mean(samples, size);
+    let mut at: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
+    for sample in samples {
+        // Sizes are not negative, so that their bits stand for them.
+        at.entry((sample.size + 0.0).to_bits()).or_default().push(sample.value);
+    }
+    for here in at.values() {
+        let mean = here.iter().sum::<f64>() / here.len() as f64;
         sum += here.iter().map(|value| ((value - mean) / against(mean, floor)).powi(2)).sum::<f64>();
         degrees += here.len() as f64 - 1.0;
     }
@@ -290,7 +294,7 @@
         }
     }
     let best = tried.iter().map(|(_, error)| *error).fold(f64::INFINITY, f64::min);
-    let scatter = scatter(samples, &sizes, floor);
+    let scatter = scatter(samples, floor);
     let noise = noise(scatter);
     let residual = |law: &Law| {
         let off = |s: &Sample| ((law.at(s.size) - s.value) / against(s.value, floor)).powi(2);
--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -60,8 +60,8 @@
 ];
 
 /// A file may hold so many points, and be so long.
-pub const MOST_POINTS: usize = 20_000;
-pub const MOST_BYTES: usize = 32 << 20;
+pub const MOST_POINTS: usize = 5000;
+pub const MOST_BYTES: usize = 16 << 20;
 /// Longest text in a point.
 const MOST_TEXT: usize = 400;
 /// No size and no measure is above this; past it products overflow and nothing is known.
