--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -85,6 +85,11 @@
         Estimate { above: Vec::new(), known: true, ..Estimate::nothing("") }
     }
 
+    /// The sum of none yet: it becomes known by the first that is.
+    pub fn sum() -> Estimate {
+        Estimate { known: false, ..Estimate::none() }
+    }
+
     /// Several together: the spans add up, and what is open in one is open in the sum.
     pub fn plus(mut self, other: &Estimate) -> Estimate {
         self.low += other.low;
@@ -249,6 +254,9 @@
         for point in &points.points {
             roles.entry(&point.role).or_default().1.push(point);
         }
+        for (_, points) in roles.values_mut() {
+            points.sort_by(|a, b| a.rank(b));
+        }
         Costs { roles, asked: RefCell::default() }
     }
 
--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -104,7 +104,8 @@
         found.entry((&point.role, &point.varied, held)).or_default().push(point);
     }
     let mut all = Vec::with_capacity(found.len());
-    for ((role, varied, held), points) in found {
+    for ((role, varied, held), mut points) in found {
+        points.sort_by(|a, b| a.rank(b));
         let held = held.into_iter().map(|(key, bits)| (key, f64::from_bits(bits))).collect();
         all.push(Series { role, varied, held, points });
     }
--- a/crates/capacity/src/planted.rs
+++ b/crates/capacity/src/planted.rs
@@ -15,12 +15,12 @@
         "servers" => 400.0,
         "proxies" => 1200.0,
         "customers" => 8000.0,
-        "routes" => 1200.0,
+        "routes" => 2000.0,
         // The whole fleet's, or one server's.
         "requests" if ["archive", "steward-gather"].contains(&role) => 40_000.0,
         "requests" => 400.0,
         "changes" => 1.0,
-        "instances" => 4.0,
+        "instances" => 16.0,
         _ => 16.0,
     };
     let mut roles: Vec<&str> = laws.iter().map(|(role, ..)| *role).collect();
--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -170,8 +170,9 @@
         Ok(())
     }
 
-    /// Where it stands among others; nothing that is measured counts.
-    fn rank(&self, other: &Point) -> std::cmp::Ordering {
+    /// Where it stands among others, so that their order in a file counts for nothing: not in what is printed and not in the
+    /// last digit of a sum.
+    pub fn rank(&self, other: &Point) -> std::cmp::Ordering {
         let head = |point: &Point| (point.role.clone(), point.varied.clone());
         let size = |point: &Point| point.sizes.get(&point.varied).copied().unwrap_or(0.0);
         let held = |point: &Point| -> Vec<(String, u64)> {
@@ -184,6 +185,12 @@
             .then_with(|| size(self).total_cmp(&size(other)))
             .then_with(|| self.seed.cmp(&other.seed))
             .then_with(|| self.date.cmp(&other.date))
+            .then_with(|| {
+                let bits = |point: &Point| -> Vec<(String, u64)> {
+                    point.measures.iter().map(|(key, value)| (key.clone(), value.to_bits())).collect()
+                };
+                bits(self).cmp(&bits(other))
+            })
     }
 }
 
--- a/crates/capacity/src/reckon.rs
+++ b/crates/capacity/src/reckon.rs
@@ -89,7 +89,9 @@
 }
 
 pub fn verdict(needed: &Estimate, limit: f64) -> Verdict {
-    if needed.above.is_empty() && needed.high <= limit {
+    if !needed.known {
+        Verdict::NotKnown
+    } else if needed.above.is_empty() && needed.high <= limit {
         Verdict::Held
     } else if needed.below.is_empty() && needed.low > limit {
         Verdict::NotHeld
@@ -127,11 +129,11 @@
         let mut at = self.plan.sizes("server");
         at.insert("requests".into(), 0.0);
         let add = |sum: Estimate, measure: &&str| sum.plus(&self.costs.at("server", measure, &at));
-        measures.iter().fold(Estimate::none(), add)
+        measures.iter().fold(Estimate::sum(), add)
     }
 
     fn load(&self, plan: &Plan, machine: &Machine, measure: &str) -> Load {
-        let (mut all, mut most) = (Estimate::none(), (0.0, String::new()));
+        let (mut all, mut most) = (Estimate::sum(), (0.0, String::new()));
         for role in &machine.runs {
             let told = self.at(plan, role, measure);
             if told.value > most.0 {
@@ -188,7 +190,7 @@
                 let mut together = Vec::new();
                 let mut fullest = Vec::new();
                 for plan in &case.plans {
-                    let (mut sum, mut limit) = (Estimate::none(), 0.0);
+                    let (mut sum, mut limit) = (Estimate::sum(), 0.0);
                     for machine in &plan.machines {
                         let load = self.load(plan, machine, measure);
                         let has = if measure == "cpu" { machine.cores } else { machine.memory };
@@ -276,6 +278,40 @@
         lines
     }
 
+    /// What ends one process of a role, as if it had its machine for itself.
+    pub fn limits_of(&self, role: &str) -> Vec<Line> {
+        let plan = self.plan;
+        let mut lines = Vec::new();
+        if role == "server" {
+            let of_server =
+                |line: &Line| line.what.starts_with("a server's ") || line.what.starts_with("added");
+            return self
+                .budgets()
+                .into_iter()
+                .filter(|line| of_server(line) && !line.what.contains("caller"))
+                .collect();
+        }
+        // Of the machines that it stands on the smallest.
+        let on = plan.machines.iter().filter(|machine| machine.runs.iter().any(|runs| runs == role));
+        let least =
+            on.map(|machine| (machine.cores, machine.memory)).reduce(|a, b| (a.0.min(b.0), a.1.min(b.1)));
+        if let Some((cores, memory)) = least {
+            lines.push(Line::of("the machine's cores", self.at(plan, role, "cpu"), cores, Unit::Cores));
+            lines.push(Line::of("the machine's memory", self.at(plan, role, "memory"), memory, Unit::Bytes));
+        }
+        for bound in self.bounds.iter().filter(|bound| bound.role == role) {
+            let most = plan.sizes(role).get(&bound.size).copied().unwrap_or(0.0);
+            let needed = Estimate { low: most, value: most, high: most, ..Estimate::none() };
+            lines.push(Line::of(
+                format!("{}, bounded in the code", bound.size),
+                needed,
+                bound.most,
+                Unit::Count,
+            ));
+        }
+        lines
+    }
+
     /// What is not carried, in the order in which it comes: no way at all, then needed over carried, then harm.
     pub fn ranking(&self) -> Vec<Line> {
         let mut lines: Vec<Line> = self
@@ -447,7 +483,7 @@
         for machine in &plan.machines {
             let steady = self.load(plan, machine, "cpu").all;
             let mine = bursts.iter().filter(|burst| machine.runs.contains(&burst.role));
-            let work = mine.fold(Estimate::none(), |sum, burst| sum.plus(&burst.cpu));
+            let work = mine.fold(Estimate::sum(), |sum, burst| sum.plus(&burst.cpu));
             let time = |work: f64, busy: f64| {
                 let spare = machine.cores - busy;
                 match (work > 0.0, spare > 0.0) {
--- /dev/null
+++ b/crates/cli/src/capacity/bounds.rs
@@ -0,0 +1,38 @@
+//! Where the code itself refuses more, whatever it would cost: taken from the code, so that the page follows it.
+
+use puffinladder_capacity::reckon::Bound;
+use puffinladder_charter::settings::read_settings;
+use puffinladder_owners::{desk, table};
+
+pub fn of_the_code() -> Vec<Bound> {
+    let bound = |role: &str, size: &str, most: usize, named: &str| Bound {
+        role: role.into(),
+        size: size.into(),
+        most: most as f64,
+        named: named.into(),
+    };
+    let mut bounds = vec![
+        bound("steward-quota", "customers", desk::CUSTOMERS, "CUSTOMERS of crates/owners/src/desk.rs"),
+        bound("keeper", "instances", table::INSTANCES, "INSTANCES of crates/owners/src/table.rs"),
+    ];
+    // What holds where a control service's settings say nothing.
+    let usual = "(control (xds \"127.0.0.1:1\") (reports \"127.0.0.1:2\"))";
+    if let Some(control) = read_settings("usual", usual).ok().and_then(|settings| settings.control) {
+        bounds.push(bound(
+            "control",
+            "servers",
+            control.most_servers,
+            "most-servers of a control service, as it is unless set",
+        ));
+        bounds.push(bound(
+            "control",
+            "proxies",
+            control.most_proxies,
+            "most-proxies of a control service, as it is unless set",
+        ));
+    }
+    bounds
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! 2 where what was asked is wrong (the command line, settings, an expression).
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod check;
 mod control;
 mod fleet;
@@ -79,6 +80,8 @@
         #[command(subcommand)]
         command: trace::Command,
     },
+    /// What of a planned size is carried, by what was measured
+    Capacity(capacity::Line),
     /// Print completions for a shell
     #[command(
         after_help = "Example:\n  puffinladder completions bash > ~/.local/share/bash-completion/completions/puffinladder"
@@ -111,6 +114,7 @@
         Command::Archive(line) => fleet::archive::run(line),
         Command::Prove(line) => prove::run(line),
         Command::Trace { command } => trace::run(command),
+        Command::Capacity(line) => capacity::run(line),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Line::command(), "puffinladder", &mut script);
