--- a/crates/capacity/src/plan/tests.rs
+++ b/crates/capacity/src/plan/tests.rs
@@ -40,6 +40,12 @@
     );
     let twice = plan.scaled(2.0);
     assert_eq!((size(&twice, "control", "proxies"), size(&twice, "control", "routes")), (4550.0, 4600.0));
+    let doubled: Vec<f64> = ["servers", "callers", "customers", "routes", "requests", "changes"]
+        .map(|key| size(&twice, "archive", key) / size(&plan, "archive", key))
+        .into();
+    assert_eq!(doubled, [2.0; 6]);
+    assert_eq!((twice.events.failures_a_day, twice.events.restarts_a_day), (88.0, 4600.0));
+    assert_eq!((size(&twice, "keeper", "parts"), twice.count("keeper"), twice.fleet.zones), (16.0, 3.0, 6.0));
     // Twice the servers and twice the requests: each has as many as before.
     assert_eq!(size(&twice, "server", "requests"), size(&plan, "server", "requests"));
     assert_eq!(twice.server, plan.server);
