A server that costs something by itself and something for each customer is a form of its own

Series that cross at one point fit servers x customers and servers + customers alike; of forms with as many terms the one that says most is taken now, the others stay in the span. Own test of the sum changed with the rule: what was only crossed must span from the sum to the product, and three points off the cross must bring the sum back.

--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -3,8 +3,9 @@
 //! **Several dimensions.** Where a cost grows along two or more, the points of all its series are fitted together: a sum
 //! of the dimensions' own growths, a product of two of them with the rest as a sum, both, a product of all. The
 //! largest size of each dimension and the points at which most dimensions are largest are left out and predicted, and the
-//! simplest form that holds is taken by the rule of [`crate::fit`]. Series that only cross at one point can't tell a sum
-//! with a product in it from a plain sum; the span then reaches up to what a product would say, and it is said.
+//! simplest form that holds is taken by the rule of [`crate::fit`]; of several with as many terms the one that says most.
+//! Series that only cross at one point can't tell a sum with a product in it from a plain sum: the span then reaches
+//! from the sum up to what a product would say, and it is said. A few points off the cross end that.
 //!
 //! **The span of error.** The error of the prediction (at least the scatter of repeats and of the final fit) is one
 //! stretch's: from the second largest size to the largest. A figure that lies several such stretches further out has
@@ -173,7 +174,12 @@
             let product: Term = vec![growing[i].clone(), growing[j].clone()];
             let rest =
                 single.iter().enumerate().filter(|(k, _)| *k != i && *k != j).map(|(_, term)| term.clone());
-            forms.push(std::iter::once(product.clone()).chain(rest).collect());
+            let rest: Vec<Term> = std::iter::once(product.clone()).chain(rest).collect();
+            // As a server that costs something by itself, and something for each customer.
+            for one in [i, j] {
+                forms.push(rest.iter().chain([&single[one]]).cloned().collect());
+            }
+            forms.push(rest);
             forms.push(single.iter().cloned().chain([product]).collect());
         }
     }
@@ -471,7 +477,10 @@
         let keep = |joint: &&Joint| holds(joint.error, best, noise(scatter));
         let holding: Vec<&Joint> = all.iter().filter(keep).collect();
         let names = growing.join(" and ");
-        let Some(chosen) = holding.first() else {
+        let said = |joint: &Joint| says(&joint.terms, &joint.found, at).unwrap_or(0.0);
+        let simplest = holding.iter().map(|joint| joint.terms.len()).min();
+        let alike = holding.iter().copied().filter(|joint| Some(joint.terms.len()) == simplest);
+        let Some(chosen) = alike.reduce(|a, b| if said(b) > said(a) { b } else { a }) else {
             let off = if best.is_finite() {
                 format!(" (the best form is off by {:.0}%)", best * 100.0)
             } else {
@@ -479,7 +488,7 @@
             };
             return Err(format!("{role}: {measure} grows with {names} together in no known form{off}"));
         };
-        let value = says(&chosen.terms, &chosen.found, at).unwrap_or(0.0).max(0.0);
+        let value = said(chosen).max(0.0);
         let others: Vec<f64> =
             holding.iter().filter_map(|joint| says(&joint.terms, &joint.found, at)).collect();
         let mut form = words(&chosen.terms);
@@ -498,10 +507,8 @@
                     "{role}: {measure} grows with {names}, and no series shows how together"
                 ));
             }
-            if product > high {
-                high = product;
-                form += ", or a product: not measured together";
-            }
+            high = high.max(product);
+            form += "; not measured together, a sum would be less";
         }
         let error = along.values().map(|one| one.fit.doubt()).fold(chosen.error, f64::max);
         let base = says(&chosen.terms, &chosen.found, least).unwrap_or(value);
