A server's bytes for control: to every control service, and what stewards and distributors take

The budget is over all that a server sends for control, and the report that names each customer goes to stewards. What was measured with one control service counts for each; what stewards hear and send is parted over the servers. Where no shape holds the value at the largest size counts, not the worst of the scatter: a trial with tiny sizes called one slow answer a limit.

--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -270,6 +270,13 @@
         self.roles.contains_key(role)
     }
 
+    /// Whether any point of a role says how much of a dimension there was.
+    pub fn names(&self, role: &str, size: &str) -> bool {
+        self.roles
+            .get(role)
+            .is_some_and(|(_, points)| points.iter().any(|point| point.sizes.contains_key(size)))
+    }
+
     pub fn series(&self, role: &str) -> &[Fitted<'p>] {
         self.roles.get(role).map_or(&[], |(series, _)| series)
     }
@@ -296,17 +303,21 @@
         (!values.is_empty()).then_some(known)
     }
 
-    /// Where no form holds: as much as was measured at sizes that the plan contains, and nobody knows how much more.
+    /// Where no form holds: as much as was measured at the largest size that the plan contains, and nobody knows how much
+    /// more. Not the most that was ever measured: where values scatter that is the worst of the scatter.
     fn at_least(points: &[&Point], measure: &str, at: &Sizes, why: String) -> Estimate {
         let inside = |point: &&&Point| point.sizes.iter().all(|(key, n)| at.get(key).is_none_or(|m| n <= m));
-        let values = points.iter().filter(inside).filter_map(|point| point.measures.get(measure).copied());
-        match values.max_by(f64::total_cmp) {
-            None => Estimate::nothing(why),
-            Some(seen) => {
-                let form = "unknown; as much was measured".into();
-                Estimate { low: seen, value: seen, high: seen, form, known: true, ..Estimate::nothing(why) }
-            }
-        }
+        let large = |point: &Point| point.sizes.values().map(|n| n.ln_1p()).sum::<f64>();
+        let inside: Vec<&Point> = points.iter().filter(inside).copied().collect();
+        let Some(largest) = inside.iter().copied().reduce(|a, b| if large(b) > large(a) { b } else { a })
+        else {
+            return Estimate::nothing(why);
+        };
+        let alike = inside.iter().filter(|point| point.sizes == largest.sizes);
+        let values: Vec<f64> = alike.filter_map(|point| point.measures.get(measure).copied()).collect();
+        let seen = values.iter().sum::<f64>() / values.len().max(1) as f64;
+        let form = "unknown; as much was measured".into();
+        Estimate { low: seen, value: seen, high: seen, form, known: true, ..Estimate::nothing(why) }
     }
 
     /// What one process of the role costs at a size.
--- a/crates/capacity/src/estimate/tests.rs
+++ b/crates/capacity/src/estimate/tests.rs
@@ -211,3 +211,12 @@
         assert!(sound, "round {round}: {told:?}");
     }
 }
+
+#[test]
+fn where_no_shape_holds_the_largest_size_counts_and_not_the_worst_of_the_scatter() {
+    let wild = [(10.0, 50.0), (20.0, 1.0), (40.0, 30.0), (80.0, 4.0), (80.0, 6.0), (2000.0, 900.0)];
+    let points = wild.map(|(n, v)| point("steward-turns", "servers", &[("servers", n)], "latency_p99", v));
+    let points = Points { points: points.into() };
+    let told = Costs::of(&points).at("steward-turns", "latency_p99", &sizes(&[("servers", 730.0)]));
+    assert!(told.low == 5.0 && told.high == 5.0 && told.above[0].contains("no known shape"), "{told:?}");
+}
--- a/crates/capacity/src/plan.rs
+++ b/crates/capacity/src/plan.rs
@@ -314,6 +314,7 @@
             ("parts", self.fleet.parts),
             ("callers", self.fleet.callers),
             ("keepers", self.count("keeper")),
+            ("controls", self.count("control")),
             ("stewards", stewards),
         ];
         let shares = self.shares.get(role);
--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -23,8 +23,9 @@
     "module",
 ];
 
-/// Dimensions along which a role's cost may grow; requests and changes are counted a second.
-pub const SIZES: [&str; 11] = [
+/// Dimensions along which a role's cost may grow; requests and changes are counted a second, controls are control services.
+pub const SIZES: [&str; 12] = [
+    "controls",
     "servers",
     "proxies",
     "instances",
--- a/crates/capacity/src/reckon.rs
+++ b/crates/capacity/src/reckon.rs
@@ -67,6 +67,7 @@
                 "within the span of error".into()
             }
             Verdict::NotKnown => reasons(&needed),
+            Verdict::NotHeld if !needed.above.is_empty() => reasons(&needed),
             _ => String::new(),
         };
         Line { what: what.into(), needed, limit, unit, verdict, why }
@@ -132,6 +133,37 @@
         measures.iter().fold(Estimate::sum(), add)
     }
 
+    /// All that a server sends and hears for control. A report goes to each control service anew: what was measured with one
+    /// counts for each, unless the points say with how many they were taken. What goes to and from stewards and whoever brings
+    /// configuration is theirs to tell: all that such processes send and hear, over the servers.
+    fn server_bytes(&self) -> Line {
+        let plan = self.plan;
+        let controls =
+            if self.costs.names("server", "controls") { 1.0 } else { plan.count("control").max(1.0) };
+        let mut parts =
+            vec![("control services", self.server_without_requests(&["sent", "received"]).times(controls))];
+        for (role, name) in
+            [("steward-quota", "quota stewards"), ("steward-turns", "turn stewards"), ("config", "config")]
+        {
+            if plan.count(role) > 0.0 {
+                let all =
+                    Estimate::sum().plus(&self.at(plan, role, "sent")).plus(&self.at(plan, role, "received"));
+                parts.push((name, all.times(plan.count(role) / plan.fleet.servers)));
+            }
+        }
+        let all = parts.iter().fold(Estimate::sum(), |sum, (_, part)| sum.plus(part));
+        let mut line = Line::of("a server's bytes for control", all, plan.server.bytes, Unit::BytesASecond);
+        let told = parts.iter().filter(|(_, part)| part.known);
+        let told: Vec<String> = told
+            .map(|(name, part)| format!("{name} {}", crate::tables::show(part.value, line.unit)))
+            .collect();
+        if !told.is_empty() {
+            let stop = if line.why.is_empty() { "" } else { "; " };
+            line.why = format!("{}{stop}{}", told.join(", "), line.why);
+        }
+        line
+    }
+
     fn load(&self, plan: &Plan, machine: &Machine, measure: &str) -> Load {
         let (mut all, mut most) = (Estimate::sum(), (0.0, String::new()));
         for role in &machine.runs {
@@ -267,8 +299,7 @@
             server.memory,
             Unit::Bytes,
         ));
-        let bytes = self.server_without_requests(&["sent", "received"]);
-        lines.push(Line::of("a server's bytes for control", bytes, server.bytes, Unit::BytesASecond));
+        lines.push(self.server_bytes());
         lines.push(Line::of(
             "added to a request, p99",
             self.at(plan, "server", "latency_p99"),
--- a/crates/capacity/src/reckon/tests.rs
+++ b/crates/capacity/src/reckon/tests.rs
@@ -82,7 +82,8 @@
     let costs_of = |laws: &Laws| budgets(&plan, &points(laws));
     let lines = costs_of(&but("server", "sent", |at| 300.0 + 280.0 * at["customers"]));
     let bytes = line(&lines, "a server's bytes for control");
-    let truly = 300.0 + 280.0 * 15_000.0 + 1000.0;
+    // To each of four control services; with four quota stewards, turn stewards and distributors 200, 100 and 100.
+    let truly = 4.0 * (300.0 + 280.0 * 15_000.0 + 200.0 + 200.0 + 100.0 + 100.0);
     assert!((bytes.needed.value / truly - 1.0).abs() < 1e-6, "{bytes:?}");
     assert_eq!(bytes.verdict, Verdict::NotHeld);
     assert!((bytes.ratio() - truly / 12_288.0).abs() < 0.01);
@@ -90,7 +91,34 @@
     let half = read("p", &SHIPPED.replace("(tenants 15000)", "(tenants 7500)")).unwrap();
     let laws = but("server", "sent", |at| 300.0 + 280.0 * at["customers"]);
     let halved = line(&budgets(&half, &points(&laws)), "a server's bytes for control");
-    assert!((halved.needed.value - (300.0 + 280.0 * 7500.0 + 1000.0)).abs() < 10.0, "{halved:?}");
+    assert!((halved.needed.value - 4.0 * (300.0 + 280.0 * 7500.0 + 600.0)).abs() < 10.0, "{halved:?}");
+    // Points that say with how many control services they were taken count as they are.
+    let mut told = points(&laws);
+    for point in &mut told.points {
+        point.sizes.insert("controls".into(), 4.0);
+    }
+    let whole = line(&budgets(&half, &told), "a server's bytes for control");
+    let truly = 300.0 + 280.0 * 7500.0 + 200.0 + 4.0 * 400.0;
+    assert!((whole.needed.value - truly).abs() < 10.0, "{whole:?}");
+}
+
+#[test]
+fn what_stewards_hear_of_each_customer_is_a_servers_to_send() {
+    // 70 B for each customer, four times a second, from each server to each of four stewards.
+    let laws = but("steward-quota", "received", |at| 280.0 * at["servers"] * at["customers"]);
+    let bytes = line(&budgets(&plan(), &points(&laws)), "a server's bytes for control");
+    let truly = 4.0 * (280.0 * 15_000.0 + 100.0 + 100.0 + 100.0 + 1200.0);
+    assert!((bytes.needed.value / truly - 1.0).abs() < 1e-6, "{bytes:?}, truly {truly}");
+    assert_eq!(bytes.verdict, Verdict::NotHeld);
+    assert!(bytes.why.contains("quota stewards 16"), "{}", bytes.why);
+    // Nothing measured of the stewards: what is known is a least, and can't keep the budget.
+    let mut laws = sound();
+    laws.retain(|(role, ..)| *role != "steward-quota");
+    let bytes = line(&budgets(&plan(), &points(&laws)), "a server's bytes for control");
+    assert!(
+        bytes.verdict == Verdict::NotKnown && bytes.why.contains("steward-quota: not measured"),
+        "{bytes:?}"
+    );
 }
 
 #[test]
--- a/crates/capacity/src/tables.rs
+++ b/crates/capacity/src/tables.rs
@@ -310,7 +310,8 @@
             Some((below, above)) => format!("{} to {}", number(below), number(above)),
             None if one.now.verdict == Verdict::NoWay => "no way today".into(),
             None if !one.now.needed.known => "not known".into(),
-            None if one.now.ratio() > 1.0 => "not carried today".into(),
+            None if one.now.verdict == Verdict::NotHeld => "not carried today".into(),
+            None if one.now.ratio() > 1.0 => "not known whether carried today".into(),
             None if one.twice.verdict == Verdict::Held => "carried at twice".into(),
             None => "not known whether carried at twice".into(),
         };
--- a/crates/capacity/src/tables/tests.rs
+++ b/crates/capacity/src/tables/tests.rs
@@ -77,7 +77,7 @@
     let all = tables(&far, &points, &[]);
     let top = text(&all, "not-carried");
     assert!(
-        top.contains("1. **a server's bytes for control: 1,370 times** (needed 16 MB/s, carried 12 KB/s)"),
+        top.contains("1. **a server's bytes for control: 5,470 times** (needed 64.1 MB/s, carried 12 KB/s); control services 64.1 MB/s, quota stewards 800 B/s"),
         "{top}"
     );
     assert!(top.contains("extrapolated 7.5 times"), "{top}");
@@ -108,3 +108,57 @@
         roles.lines().find(|line| line.starts_with("| steward-turns |") && line.contains("| cpu |")).unwrap();
     assert!(line.contains("| at least 9 cores |") && line.contains("in no known shape"), "{line}");
 }
+
+#[test]
+fn wild_points_give_tables_that_a_page_can_hold_and_never_panic() {
+    use crate::page;
+    use crate::point::{Point, SIZES};
+    use rand::{Rng, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    let mut chance = ChaCha8Rng::seed_from_u64(36);
+    let wild = [0.0, 1e-300, 1e-9, 1.0, 3.0, 700.0, 1e9, 1e18];
+    let markers: String = NAMES.map(|name| format!("<!-- capacity: {name} -->\n<!-- /capacity -->\n")).concat();
+    for round in 0..60 {
+        let mut points = Vec::new();
+        for _ in 0..chance.random_range(1..80) {
+            let mut any = |all: usize| chance.random_range(0..all);
+            let (role, varied) = (ROLES[any(ROLES.len())], SIZES[any(4)]);
+            let sizes = [varied, SIZES[any(SIZES.len())]].map(|key| (key.to_string(), wild[any(wild.len())]));
+            let measures = MEASURES.iter().map(|(name, _)| (name.to_string(), wild[any(wild.len())]));
+            points.push(Point {
+                role: role.into(),
+                sizes: sizes.into(),
+                measures: measures.collect(),
+                varied: varied.into(),
+                seed: round,
+                date: "<!-- /capacity -->".into(),
+                version: "0.1.0".into(),
+                cores: 1,
+                beside: "<!-- capacity: plan -->".into(),
+                span: 1e-3,
+            });
+        }
+        // What stands in a file has to pass its own reader first.
+        let points = Points::parse("p", &Points { points }.print()).unwrap();
+        let all = tables(&shipped(), &points, &[]);
+        let page = page::write(&markers, &all).unwrap();
+        assert_eq!(page::check(&page, &all), Ok(()), "round {round}");
+        for told in &all {
+            assert!(!told.text.contains("NaN") && !told.text.contains("inf "), "round {round}: {}", told.text);
+        }
+    }
+}
+
+#[test]
+fn as_many_points_as_a_file_may_hold_are_worked_out_in_the_end() {
+    use crate::point::{Point, MOST_POINTS};
+    let few = points(&sound()).points;
+    let again = |at: usize| {
+        let point: &Point = &few[at % few.len()];
+        Point { seed: at as u64, ..point.clone() }
+    };
+    let many = Points { points: (0..MOST_POINTS).map(again).collect() };
+    let all = tables(&shipped(), &many, &[]);
+    assert!(text(&all, "fits").contains(&format!("{MOST_POINTS} points")));
+}
