Texts of points and names of plans can't pass for a marker of the page

Found by a test that puts wild points through every table: a date of <!-- /capacity --> was printed into the page, which was then refused at the next reading.

--- a/crates/capacity/src/plan.rs
+++ b/crates/capacity/src/plan.rs
@@ -1,7 +1,7 @@
 //! The size to design for: how it is read, what it comes to for one process of a role, and what it is at twice the size.
 
 use crate::estimate::Sizes;
-use crate::point::{ROLES, SIZES};
+use crate::point::{unfit, ROLES, SIZES};
 use puffinladder_charter::sexpr::{Block, Fault, Reader};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -110,8 +110,8 @@
 fn name(block: &Block, key: &'static str) -> String {
     needed(block, key);
     let text = block.text(key).unwrap_or_default();
-    if text.chars().count() > LONGEST_NAME || text.chars().any(|c| c.is_control() || c == '|') {
-        block.fault(key, format!("should be {LONGEST_NAME} letters at the most, without |"));
+    if text.chars().count() > LONGEST_NAME || text.chars().any(unfit) {
+        block.fault(key, format!("should be {LONGEST_NAME} letters at the most, without | < >"));
     }
     text
 }
--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -161,10 +161,10 @@
             return wrong("cores", "should be 1 or more".into());
         }
         for (key, text) in [("date", &self.date), ("version", &self.version), ("beside", &self.beside)] {
-            if text.chars().count() > MOST_TEXT || text.chars().any(|c| c.is_control() || c == '|') {
+            if text.chars().count() > MOST_TEXT || text.chars().any(unfit) {
                 return wrong(
                     key,
-                    format!("should be one line of {MOST_TEXT} letters at the most, without |"),
+                    format!("should be one line of {MOST_TEXT} letters at the most, without | < >"),
                 );
             }
         }
@@ -195,6 +195,11 @@
     }
 }
 
+/// What would break a table, or pass for a marker of the page.
+pub fn unfit(c: char) -> bool {
+    c.is_control() || "|<>".contains(c)
+}
+
 fn amount(value: f64) -> bool {
     value.is_finite() && (0.0..=MOST_VALUE).contains(&value)
 }
--- a/crates/capacity/src/point/tests.rs
+++ b/crates/capacity/src/point/tests.rs
@@ -37,7 +37,7 @@
         Points::parse("some.json", &text).unwrap_err().to_string()
     };
     type Change = (&'static str, Box<dyn Fn(&mut Point)>);
-    let changes: [Change; 9] = [
+    let changes: [Change; 11] = [
         ("role", Box::new(|p| p.role = "servers".into())),
         (
             "sizes",
@@ -67,6 +67,8 @@
         ("span", Box::new(|p| p.span = 0.0)),
         ("cores", Box::new(|p| p.cores = 0)),
         ("beside", Box::new(|p| p.beside = "a | b".into())),
+        ("date", Box::new(|p| p.date = "<!-- /capacity -->".into())),
+        ("version", Box::new(|p| p.version = "1\n2".into())),
     ];
     for (key, change) in &changes {
         let said = said(change);
