--- /dev/null
+++ b/crates/config/src/content/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+fn one(key: Key, value: f64) -> Change {
+    Change::default().set(key, value)
+}
+
+#[test]
+fn a_change_is_made_whole_or_not_at_all() {
+    let base = Content::default().after(&one(Key::tenant("a"), 1.0)).unwrap();
+    let change = one(Key::tenant("a"), 2.0).set(Key::tenant("b"), f64::NAN);
+    let wrong = base.after(&change).unwrap_err();
+    assert_eq!(wrong.key, Some(Key::tenant("b")));
+    assert_eq!(base.get(&Key::tenant("a")), Some(1.0));
+}
+
+#[test]
+fn what_no_server_could_read_is_refused_with_its_key() {
+    let long = "x".repeat(NAME + 1);
+    let cases = [
+        (one(Key::tenant(""), 1.0), "a name should have"),
+        (one(Key::tenant(&long), 1.0), "a name should have"),
+        (one(Key::tenant("a\nb"), 1.0), "a name should have"),
+        (one(Key::new(Section::Tenant, "a", Field::Promise), 1.0), "a tenant has no promise"),
+        (one(Key::new(Section::Limit, "mine", Field::Servers), 1.0), "limits stand under"),
+        (one(Key::tenant("a"), -1.0), "should be from 0 to"),
+        (one(Key::tenant("a"), -0.0), "should be from 0 to"),
+        (one(Key::tenant("a"), f64::INFINITY), "should be from 0 to"),
+        (one(Key::route("a", Field::Promise), 0.0), "should be from 0.001 to"),
+    ];
+    for (change, what) in cases {
+        let wrong = change.check().unwrap_err();
+        assert!(wrong.what.starts_with(what) && wrong.key.is_some(), "{wrong}");
+        assert!(Content::default().after(&change).is_err(), "{wrong}");
+    }
+}
+
+#[test]
+fn changes_and_contents_are_bounded() {
+    let many = |count: usize| {
+        let keys = (0..count).map(|at| (Key::tenant(&format!("t{at}")), Some(Value(1.0))));
+        Change(keys.collect())
+    };
+    assert!(many(CHANGE_KEYS).check().is_ok());
+    assert!(many(CHANGE_KEYS + 1).check().is_err());
+    assert!(Content::default().after(&many(KEYS)).is_ok());
+    assert!(Content::default().after(&many(KEYS + 1)).is_err());
+}
+
+#[test]
+fn a_diff_makes_the_one_of_the_other_both_ways() {
+    let a = Content::default().after(&one(Key::tenant("a"), 1.0).set(Key::tenant("b"), 2.0)).unwrap();
+    let b = a.after(&one(Key::tenant("b"), 3.0).set(Key::tenant("c"), 4.0).remove(Key::tenant("a"))).unwrap();
+    assert_eq!(a.after(&a.diff(&b)).unwrap(), b);
+    assert_eq!(b.after(&b.diff(&a)).unwrap(), a);
+    assert!(a.diff(&a).is_empty());
+}
+
+#[test]
+fn changes_one_after_another_are_one() {
+    let (first, second) = (one(Key::tenant("a"), 1.0), Change::default().remove(Key::tenant("a")));
+    let (third, mut all) = (one(Key::tenant("b"), 2.0), first.clone());
+    all.then(&second);
+    all.then(&third);
+    let base = Content::default();
+    let step = base.after(&first).unwrap().after(&second).unwrap().after(&third).unwrap();
+    assert_eq!(base.after(&all).unwrap(), step);
+}
--- /dev/null
+++ b/crates/config/src/patch/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+fn said(text: &str) -> Vec<String> {
+    Patch::read("f.scm", text).unwrap_err().iter().map(Fault::to_string).collect()
+}
+
+#[test]
+fn a_patch_reads_into_a_change() {
+    let text = "; more for acme\n(tenant (name \"acme\") (quota 120))\n(route (name \"orders\") (promise 800ms) (give-up 2s))
+(limit (max-retry-after 5s))\n(without (tenant \"old\") (route \"orders\" late-share) (limit servers))";
+    let patch = Patch::read("f.scm", text).unwrap();
+    let wanted = Change::default()
+        .set(Key::tenant("acme"), 120.0)
+        .set(Key::route("orders", Field::Promise), 800.0)
+        .set(Key::route("orders", Field::GiveUp), 2000.0)
+        .set(Key::limit(Field::MaxRetryAfter), 5000.0)
+        .remove(Key::tenant("old"))
+        .remove(Key::route("orders", Field::LateShare))
+        .remove(Key::limit(Field::Servers));
+    assert_eq!(patch.change, wanted);
+}
+
+#[test]
+fn every_fault_is_named_with_its_place_in_one_reading() {
+    let text = "(tenant (quota 5))\n(tenant (name \"a\") (quota many) (promise 5s))\n(route (name \"r\") (promise 800))
+(class (name \"x\"))\n(tenant (name \"b\") (quota 1))\n  (tenant (name \"b\") (quota 2))\n(without (tenant acme))\n(tenant (name \"c\"))";
+    let wanted = [
+        "f.scm:1:1: tenant.name: should be given",
+        "f.scm:2:27: tenant.quota: should be from 0 to 1000000000",
+        "f.scm:2:33: tenant.promise: is not known; there are quota",
+        "f.scm:3:28: route.promise: should be from 0.001ms to 3600000ms",
+        "f.scm:4:1: class: is not known; there are tenant, route, limit, without",
+        "f.scm:6:22: tenant.quota: stands here a second time for \"b\"",
+        "f.scm:7:10: without: should be such as (tenant \"acme\"), (route \"orders\" late-share) or (limit servers)",
+        "f.scm:8:1: tenant: changes nothing",
+    ];
+    let said = said(text);
+    for one in wanted {
+        assert!(said.iter().any(|said| said == one), "{one}\n{said:#?}");
+    }
+}
+
+#[test]
+fn what_a_check_finds_wrong_later_has_its_place_too() {
+    let patch =
+        Patch::read("f.scm", "(tenant (name \"a\") (quota 1))\n\n  (route (name \"nowhere\") (promise 5s))")
+            .unwrap();
+    let wrong = Wrong::at(&Key::route("nowhere", Field::Promise), "no such route");
+    assert_eq!(patch.fault(&wrong).to_string(), "f.scm:3:27: route \"nowhere\" promise: no such route");
+    assert_eq!(patch.fault(&Wrong::whole("too large")).to_string(), "f.scm:1:1: too large");
+}
+
+#[test]
+fn a_hostile_text_is_refused() {
+    for text in [
+        "(",
+        "(tenant",
+        "\"",
+        "(without (((((",
+        "(tenant (name \"a\") (quota 1e999))",
+        "(limit (name \"x\") (servers 2))",
+    ] {
+        assert!(!said(text).is_empty(), "{text}");
+    }
+    assert!(Patch::read("f", &" ".repeat(LONGEST + 1)).is_err());
+    assert!(Patch::read("f", &"(".repeat(100_000)).is_err());
+    let many: String =
+        (0..CHANGE_KEYS_AND_ONE).map(|at| format!("(tenant (name \"{at}\") (quota 1))")).collect();
+    assert!(said(&many)[0].contains("a change has"));
+}
+
+const CHANGE_KEYS_AND_ONE: usize = crate::content::CHANGE_KEYS + 1;
