Each role's cost by real processes at several sizes: module, server, keeper, stewards, archive

docs/CAPACITY.md is to have every figure from a slope, and nothing measured a role alone over the sizes of its peers. crates/gauging runs each role as the program's own sub-command, plays its peers, waits by the protocol and reads what it used; 'capacity measure' writes points. A keeper counts its syncs now.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! 2 where what was asked is wrong (the command line, settings, an expression).
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod check;
 mod control;
 mod fleet;
@@ -62,6 +63,8 @@
         /// Settings (S-expressions), or a configuration (JSON)
         file: PathBuf,
     },
+    /// What a fleet of a planned size needs
+    Capacity(capacity::Line),
     /// Serve the servers' decisions to proxies over xDS
     Control(control::Line),
     /// Keep, with two or four others, the table of who owns what for the fleet
@@ -104,6 +107,7 @@
             puffinladder_server::run(&options).map_err(Wrong::Failed)
         }
         Command::Check { file } => check::check(&file),
+        Command::Capacity(line) => capacity::run(line),
         Command::Control(line) => control::run(line),
         Command::Keeper(line) => fleet::keeper::run(line),
         Command::Duties(line) => fleet::duties::run(line),
--- a/crates/keeper/src/serve.rs
+++ b/crates/keeper/src/serve.rs
@@ -158,6 +158,8 @@
     tokens: u64,
     led: bool,
     counts: BTreeMap<String, u64>,
+    /// Raised by the disk's thread with each sync.
+    syncs: Arc<AtomicU64>,
 }
 
 impl Desk {
@@ -172,6 +174,7 @@
             tokens: 0,
             led: false,
             counts: BTreeMap::new(),
+            syncs: Arc::default(),
         }
     }
 
@@ -182,10 +185,10 @@
     ) -> Result<(), String> {
         let (saves, to_save) = threads::channel::<Vec<Save>>();
         let (saved, mut on_disk) = mpsc::unbounded_channel();
-        let (store, pause) = (self.store.take(), self.setup.sync_pause.clone());
+        let (store, pause, syncs) = (self.store.take(), self.setup.sync_pause.clone(), self.syncs.clone());
         let disk = std::thread::Builder::new()
             .name("disk".into())
-            .spawn(move || store.map_or(Ok(()), |store| keep(&store, &to_save, &saved, &pause)))
+            .spawn(move || store.map_or(Ok(()), |store| keep(&store, &to_save, &saved, &pause, &syncs)))
             .map_err(|e| format!("no thread for the disk: {e}"))?;
         let mut tick = interval(self.setup.clock.sleep(self.setup.tick));
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -255,7 +258,8 @@
                 }
             }
             Ask::Status => {
-                let (up, counts) = (now, self.counts.clone());
+                let (up, mut counts) = (now, self.counts.clone());
+                counts.insert("syncs".into(), self.syncs.load(Ordering::Relaxed));
                 let status = puffinladder_owners::words::Status { up, counts, ..self.core.status(now) };
                 let _ = back.try_send(Answer::Status(Box::new(status)));
             }
@@ -420,6 +424,7 @@
     saves: &threads::Receiver<Vec<Save>>,
     saved: &mpsc::UnboundedSender<u64>,
     pause: &AtomicU64,
+    syncs: &AtomicU64,
 ) -> Result<(), String> {
     while let Ok(mut all) = saves.recv() {
         all.extend(saves.try_iter().flatten());
@@ -428,6 +433,7 @@
             slow => std::thread::sleep(Duration::from_millis(slow)),
         }
         store.keep(&all).map_err(|e| e.to_string())?;
+        syncs.fetch_add(1, Ordering::Relaxed);
         if let Some(last) = all.iter().map(|save| save.number).max().filter(|number| *number > 0) {
             if saved.send(last).is_err() {
                 return Ok(());
