--- a/crates/capacity/src/point.rs
+++ b/crates/capacity/src/point.rs
@@ -60,8 +60,8 @@
 ];
 
 /// A file may hold so many points, and be so long.
-pub const MOST_POINTS: usize = 20_000;
-pub const MOST_BYTES: usize = 32 << 20;
+pub const MOST_POINTS: usize = 5000;
+pub const MOST_BYTES: usize = 16 << 20;
 /// Longest text in a point.
 const MOST_TEXT: usize = 400;
 /// No size and no measure is above this; past it products overflow and nothing is known.
@@ -170,8 +170,9 @@
         Ok(())
     }
 
-    /// Where it stands among others; nothing that is measured counts.
-    fn rank(&self, other: &Point) -> std::cmp::Ordering {
+    /// Where it stands among others, so that their order in a file counts for nothing: not in what is printed and not in the
+    /// last digit of a sum.
+    pub fn rank(&self, other: &Point) -> std::cmp::Ordering {
         let head = |point: &Point| (point.role.clone(), point.varied.clone());
         let size = |point: &Point| point.sizes.get(&point.varied).copied().unwrap_or(0.0);
         let held = |point: &Point| -> Vec<(String, u64)> {
@@ -184,6 +185,12 @@
             .then_with(|| size(self).total_cmp(&size(other)))
             .then_with(|| self.seed.cmp(&other.seed))
             .then_with(|| self.date.cmp(&other.date))
+            .then_with(|| {
+                let bits = |point: &Point| -> Vec<(String, u64)> {
+                    point.measures.iter().map(|(key, value)| (key.clone(), value.to_bits())).collect()
+                };
+                bits(self).cmp(&bits(other))
+            })
     }
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -63,8 +63,6 @@
         /// Settings (S-expressions), or a configuration (JSON)
         file: PathBuf,
     },
-    /// What a fleet of a planned size needs
-    Capacity(capacity::Line),
     /// Serve the servers' decisions to proxies over xDS
     Control(control::Line),
     /// Keep, with two or four others, the table of who owns what for the fleet
@@ -82,6 +80,8 @@
         #[command(subcommand)]
         command: trace::Command,
     },
+    /// What of a planned size is carried, by what was measured
+    Capacity(capacity::Line),
     /// Print completions for a shell
     #[command(
         after_help = "Example:\n  puffinladder completions bash > ~/.local/share/bash-completion/completions/puffinladder"
@@ -107,7 +107,6 @@
             puffinladder_server::run(&options).map_err(Wrong::Failed)
         }
         Command::Check { file } => check::check(&file),
-        Command::Capacity(line) => capacity::run(line),
         Command::Control(line) => control::run(line),
         Command::Keeper(line) => fleet::keeper::run(line),
         Command::Duties(line) => fleet::duties::run(line),
@@ -115,6 +114,7 @@
         Command::Archive(line) => fleet::archive::run(line),
         Command::Prove(line) => prove::run(line),
         Command::Trace { command } => trace::run(command),
+        Command::Capacity(line) => capacity::run(line),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Line::command(), "puffinladder", &mut script);
--- a/crates/gauging/src/series.rs
+++ b/crates/gauging/src/series.rs
@@ -85,7 +85,7 @@
         &[30.0, 75.0, 150.0, 300.0],
     ));
     let few = [("customers", 6.0), ("routes", 6.0)];
-    all.push(one(Run::Server, "requests", &few, &[30.0, 75.0, 150.0, 300.0]));
+    all.push(one(Run::Server, "requests", &few, &[10.0, 30.0, 75.0, 150.0, 300.0]));
     all.push(one(Run::Server, "customers", &[("routes", 10.0), rate], &[100.0, 1000.0, 5000.0, 15_000.0]));
     all.push(one(Run::Server, "routes", &[("customers", 100.0), rate], &[10.0, 100.0, 500.0, 2300.0]));
     // Both grow: what is kept for each customer of each product shows here alone.
