--- a/crates/cli/tests/gauging.rs
+++ b/crates/cli/tests/gauging.rs
@@ -134,6 +134,23 @@
     assert!(along(&points, "archive", "disk").iter().all(|(_, bytes)| *bytes > 0.0));
 }
 
+#[test]
+fn a_control_service_gets_as_much_of_each_server_and_holds_a_connection_for_each() {
+    let points = measured(&["control", "proxy"]);
+    let connections = along(&points, "control", "connections");
+    linear(&connections, 0.0, "connections");
+    // One for each server and each of two callers, a descriptor for each.
+    assert!(connections.iter().all(|(servers, open)| *open == servers + 2.0), "{connections:?}");
+    linear(&along(&points, "control", "descriptors"), 0.0, "descriptors");
+    linear(&along(&points, "control", "received"), 0.5, "bytes of all servers");
+    grows(&along(&points, "control", "messages_received"), "reports");
+    // A caller's own figures are a part of the service's.
+    for (of_all, of_one) in along(&points, "control", "sent").iter().zip(along(&points, "proxy", "received"))
+    {
+        assert!((of_all.1 - 2.0 * of_one.1).abs() < 1.0, "{of_all:?} {of_one:?}");
+    }
+}
+
 #[test]
 fn a_role_that_does_not_start_is_an_error_with_its_log_and_leaves_the_points_as_they_were() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/gauging/src/archive.rs
+++ b/crates/gauging/src/archive.rs
@@ -117,8 +117,10 @@
     let come = async || (blocks(at).await? >= servers as u64).then_some(());
     until("a block of each server", &mut [&mut child, &mut archive], come).await?;
     let look = async |child: &Child, archive: &Child| -> Result<_, String> {
+        // Before it is asked anything: the question's own connection would be counted.
+        let (gathers, keeps, passed) = (child.usage()?, archive.usage()?, meter.passed());
         let blocks = blocks(at).await.ok_or_else(|| archive.fault("does not say what it holds"))?;
-        Ok((child.usage()?, archive.usage()?, meter.passed(), blocks))
+        Ok((gathers, keeps, passed, blocks))
     };
     let before = look(&child, &archive).await?;
     let span = pass(span).await;
--- a/crates/gauging/src/keeper.rs
+++ b/crates/gauging/src/keeper.rs
@@ -53,8 +53,10 @@
     let leader = keepers.leader().await?;
     let look = async |keepers: &Keepers| -> Result<_, String> {
         let child = &keepers.children[leader];
+        // Before it is asked anything: the question's own connection would be counted.
+        let (used, passed) = (child.usage()?, keepers.passed(leader));
         let status = keepers.status(leader).await.ok_or_else(|| child.fault("does not say how it is"))?;
-        Ok((child.usage()?, status, keepers.passed(leader)))
+        Ok((used, status, passed))
     };
     let before = look(&keepers).await?;
     let span = pass(gauge.span).await;
