--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod control;
 mod fleet;
+mod hollow;
 mod measure;
 mod prove;
 mod say;
@@ -73,6 +74,8 @@
     Steward(fleet::steward::Line),
     /// Take gathered traces in, each piece once
     Archive(fleet::archive::Line),
+    /// Play many servers or callers in one process, for their control traffic
+    Hollow(hollow::Line),
     /// Start many processes, put faults between them, and check what they did
     Prove(prove::Line),
     /// Ask, cut, merge, veil and mend traces
@@ -112,6 +115,7 @@
         Command::Duties(line) => fleet::duties::run(line),
         Command::Steward(line) => fleet::steward::run(line),
         Command::Archive(line) => fleet::archive::run(line),
+        Command::Hollow(line) => hollow::run(line),
         Command::Prove(line) => prove::run(line),
         Command::Trace { command } => trace::run(command),
         Command::Capacity(line) => capacity::run(line),
