--- a/crates/cli/src/capacity/mod.rs
+++ b/crates/cli/src/capacity/mod.rs
@@ -1,6 +1,7 @@
 //! `puffinladder capacity`: what of a planned size is carried, by the points that were measured, and whether the page says so.
 
 mod bounds;
+mod measure;
 
 use crate::say::{Done, Wrong};
 use clap::{Args, Subcommand};
@@ -22,6 +23,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Measure what each role costs, by real processes at three sizes or more
+    Measure(measure::Line),
     /// From a size and the points the page's tables: what is carried, what is not, what is not known
     #[command(
         after_help = "Examples:\n  puffinladder capacity plan\n  puffinladder capacity plan other.scm\n  \
@@ -85,6 +88,7 @@
 
 pub fn run(line: Line) -> Done {
     match line.command {
+        Command::Measure(line) => measure::run(line),
         Command::Plan { plan, from, write } => {
             let tables = tables_of(&plan, &from.points)?;
             let Some(file) = write else {
