--- a/crates/hollow/src/callers.rs
+++ b/crates/hollow/src/callers.rs
@@ -123,12 +123,16 @@
     }
 }
 
-/// What one caller has said of its present stream.
+/// Types whose decisions age, as bits by their places in [`TYPES`]: each stream has to answer them anew. The others are not sent again to
+/// a caller that says it holds their present versions.
+const AGE: u8 = 1 << 1 | 1 << 3;
+
+/// What one caller has said.
 #[derive(Default)]
 struct Stands {
     way: Way,
     connected: Option<Held>,
-    /// A bit for each type.
+    /// A bit for each type: of those that age on its present stream, of the others on any.
     acked: u8,
     plan: Option<Version>,
 }
@@ -154,7 +158,7 @@
 /// How callers stand with what they were sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
-    /// Said on their present stream that they took all types.
+    /// Said that they took all types, those that age on their present stream.
     pub acked: usize,
     /// Their last answer was to the highest plan seen.
     pub latest: usize,
@@ -225,7 +229,8 @@
         Event::Ended => {
             let mut stands = open(stands);
             stands.way.closed();
-            (stands.connected, stands.acked, stands.plan) = (None, 0, None);
+            (stands.connected, stands.plan) = (None, None);
+            stands.acked &= !AGE;
         }
         Event::Sent(bytes) => {
             counts.sent.add(*bytes as u64);
--- /dev/null
+++ b/crates/hollow/tests/common/mod.rs
@@ -0,0 +1,72 @@
+//! A control service and what is played round it, as the stories need them.
+#![allow(dead_code)]
+
+use puffinladder_control::core::Told as Core;
+use puffinladder_control::serve::{start, Running, Setup};
+use puffinladder_control::stream::Lease;
+use puffinladder_hollow::draw::Load;
+use puffinladder_hollow::{callers, servers};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+pub fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+pub async fn service() -> Running {
+    let lease = Lease { heartbeat: 0.2, ..Lease::default() };
+    let mut told = Core { lease, ..Core::default() };
+    (told.times.plan, told.times.settle) = (0.1, 0.2);
+    // So that the memory of those that fell silent is seen to be given back.
+    told.bounds.forget = 3.0;
+    let setup = Setup {
+        told,
+        xds: any(),
+        reports: any(),
+        debug: None,
+        snapshot: None,
+        most_proxies: 1000,
+        tls: None,
+    };
+    start(setup).await.unwrap()
+}
+
+pub fn some_servers(count: usize, control: &[SocketAddr]) -> servers::Told {
+    servers::Told {
+        count,
+        first: 40,
+        control: control.to_vec(),
+        stewards: Vec::new(),
+        load: Load { products: 3, customers: 20, rate: 50.0 },
+        every: Duration::from_millis(100),
+        zones: 3,
+        seed: 7,
+        start_within: Duration::from_millis(200),
+        fleet: count,
+        quota: 100.0,
+        patience: Duration::ZERO,
+    }
+}
+
+pub fn some_callers(count: usize, control: &[SocketAddr], incremental: bool) -> callers::Told {
+    callers::Told {
+        count,
+        first: 0,
+        control: control.to_vec(),
+        services: 5,
+        zones: 3,
+        incremental,
+        seed: 7,
+        start_within: Duration::from_millis(200),
+        bound: Duration::from_secs(2),
+    }
+}
+
+/// Waits until it holds; a minute is the machine's, not the story's.
+pub async fn until(what: &str, mut wanted: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while !wanted().await {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/hollow/tests/peers.rs
@@ -0,0 +1,208 @@
+//! Stories of peers: that misbehave, that are real, and a steward.
+
+mod common;
+
+use common::{any, service, some_callers, some_servers, until};
+use puffinladder_hollow::callers::{self, Callers, Lags};
+use puffinladder_hollow::servers::{self, Servers};
+use puffinladder_owners::desk::{Desk, Report, QUOTA};
+use puffinladder_owners::{turns, Duty};
+use puffinladder_proxy::{Acked, Proxy};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// Neither JSON nor HTTP/2, in lines.
+const NONSENSE: [u8; 512] = {
+    let mut all = [0xff; 512];
+    all[511] = b'\n';
+    all
+};
+
+/// Accepts and never reads, or says nonsense for ever, or closes at once.
+async fn bad(kind: usize) -> SocketAddr {
+    let listener = TcpListener::bind(any()).await.unwrap();
+    let at = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            match kind {
+                0 => kept.push(stream),
+                1 => drop(tokio::spawn(async move { while stream.write_all(&NONSENSE).await.is_ok() {} })),
+                _ => drop(stream),
+            }
+        }
+    });
+    at
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_peer_that_hangs_talks_nonsense_or_closes_stops_nobody() {
+    let running = service().await;
+    let bads = [bad(0).await, bad(1).await, bad(2).await];
+    let all = [&[running.reports][..], &bads].concat();
+    let servers = Servers::start(&servers::Told { stewards: bads.to_vec(), ..some_servers(30, &all) });
+    let xds = [&[running.xds][..], &bads].concat();
+    let callers = [false, true].map(|mode| Callers::start(&some_callers(16, &xds, mode)));
+    let known = async || running.desk.ask(|core, now| core.views().fresh(now)).await;
+    until("every server to be fresh", async || known().await == Some(30)).await;
+    // Also those that began with a bad one: one that hangs is left once it does not say that it lives.
+    until("all callers to hold", async || callers.iter().all(|c| c.standing().holding == 16)).await;
+    let first = servers.counts.messages_sent.get();
+    until("reports to go on", async || servers.counts.messages_sent.get() > first + 300).await;
+    until("every server to be fresh still", async || known().await == Some(30)).await;
+    // At the most one connection to each peer, whatever they do.
+    assert!(servers.counts.links.get() <= 30 * 7, "{}", servers.counts.links.get());
+    servers.leave().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_hollow_caller_says_and_holds_what_the_stand_in_of_a_proxy_does() {
+    let running = service().await;
+    let _servers = Servers::start(&some_servers(12, &[running.reports]));
+    let all = [false, true].map(|mode| {
+        let real = Proxy::start(running.xds, if mode { "real-delta" } else { "real-state" }, "zone-1", mode);
+        (Callers::start(&callers::Told { zones: 1, ..some_callers(1, &[running.xds], mode) }), real)
+    });
+    until("all four to hold the same of the plan", async || {
+        let seen = running.desk.ask(|core, now| (core.seen(now), core.serial())).await;
+        let Some((seen, serial)) = seen else { return false };
+        seen.len() == 4
+            && seen.iter().all(|s| s.settled && s.zone == "zone-1" && s.refused == 0 && s.complaint.is_none())
+            && seen.iter().all(|s| s.acked == seen[0].acked)
+            && all.iter().all(|(hollow, real)| {
+                let latest = Some((serial.epoch, serial.number));
+                let real = real.plan().and_then(|plan| callers::version(&plan));
+                hollow.standing().latest == 1 && hollow.lags().highest() == latest && real == latest
+            })
+    })
+    .await;
+    // By the service's own count both are sent content and renewals, and have refused nothing.
+    until("renewals to all four", async || {
+        let seen = running.desk.ask(|core, now| core.seen(now)).await.unwrap_or_default();
+        seen.len() == 4 && seen.iter().all(|s| s.sent >= 4 && s.heartbeats >= 5 && s.refused == 0)
+    })
+    .await;
+    for (hollow, real) in &all {
+        // Four subscriptions, and an answer to each response but the one under way.
+        let heard = || hollow.counts.messages_received.get();
+        let (before, said, after) = (heard(), hollow.counts.messages_sent.get(), heard());
+        assert!(said >= 4 + before - 1 && said <= 4 + after, "{before} {said} {after}");
+        assert!(hollow.standing().holding == 1 && real.holds());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn seats_report_to_a_steward_take_their_parts_and_leave_by_turns() {
+    let listener = TcpListener::bind(any()).await.unwrap();
+    let steward = listener.local_addr().unwrap();
+    let told = servers::Told { stewards: vec![steward], ..some_servers(5, &[any()]) };
+    // Who has left and does not come back counts as away: all may be.
+    let rules = turns::Rules { most: 5, zone_share: 1.0, span: 0.5, ..turns::Rules::default() };
+    let customers = (0..20).map(|at| (puffinladder_hollow::draw::customer(at), 100.0)).collect();
+    let told_desk = puffinladder_owners::desk::Told {
+        customers,
+        servers: 5,
+        parts: 1,
+        span: 2.0,
+        drift: 0.02,
+        turns: rules,
+    };
+    let mut desk = Desk::new(told_desk);
+    let (quota, turn) = (Duty::new(QUOTA, 0), Duty::new(puffinladder_owners::desk::TURNS, 0));
+    desk.begin(0.0, &quota, 3);
+    desk.begin(0.0, &turn, 3);
+    // All connections of the steward, read and answered by one task.
+    let (heard, mut reports) = tokio::sync::mpsc::channel::<Report>(64);
+    let (answers, answer) = tokio::sync::broadcast::channel::<Vec<u8>>(4096);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (from, mut to) = stream.into_split();
+            let (heard, mut answer) = (heard.clone(), answer.resubscribe());
+            tokio::spawn(async move {
+                let mut lines = puffinladder_links::Lines::new(from, 1 << 20);
+                while let Ok(Some(report)) = lines.next().await {
+                    let _ = heard.send(report).await;
+                }
+            });
+            tokio::spawn(async move {
+                while let Ok(line) = answer.recv().await {
+                    if to.write_all(&line).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    let players = Servers::start(&servers::Told { patience: Duration::from_secs(60), ..told });
+    let counts = players.counts.clone();
+    let begun = Instant::now();
+    let (mut holds, mut turns) = (BTreeSet::new(), BTreeSet::new());
+    let mut leaves = None;
+    let mut players = Some(players);
+    let end = begun + Duration::from_secs(60);
+    // Until each had parts of all its quotas, then was told to leave, and did.
+    while leaves.as_ref().is_none_or(|task: &tokio::task::JoinHandle<()>| !task.is_finished()) {
+        assert!(Instant::now() < end, "{holds:?} hold parts, {turns:?} had turns");
+        let Ok(report) = tokio::time::timeout(Duration::from_millis(50), reports.recv()).await else {
+            continue;
+        };
+        let (report, now) = (report.unwrap(), begun.elapsed().as_secs_f64());
+        desk.hear(now, &report).unwrap();
+        if report.asked.len() == 20 && report.asked.iter().all(|asked| asked.holds.is_some()) {
+            holds.insert(report.server.clone());
+        }
+        for duty in [&quota, &turn] {
+            for reply in desk.plan(now, duty) {
+                turns.extend(reply.turn.as_ref().map(|_| reply.server.clone()));
+                let _ = answers.send(puffinladder_links::line(&reply).unwrap());
+            }
+        }
+        if holds.len() == 5 {
+            leaves = leaves.or_else(|| Some(tokio::spawn(players.take().unwrap().leave())));
+        }
+    }
+    assert_eq!(turns.len(), 5, "each left by a turn, and not by its patience");
+    assert!(counts.messages_received.get() > 5 && counts.links.get() == 0);
+}
+
+#[test]
+fn a_lag_counts_from_the_earliest_that_any_caller_was_told_and_only_for_those_that_were_there() {
+    let (bound, second) = (Duration::from_secs(2), Duration::from_secs(1));
+    let mut lags = Lags::new(bound);
+    let begun = Instant::now() + 100 * second;
+    let acked = |plan: &'static str, ttl: f64, received: Duration, opened: Duration| Acked {
+        service: "127.0.0.1:1".parse().unwrap(),
+        kind: Some(1),
+        plan,
+        ttl: Some(Duration::from_secs_f64(ttl)),
+        bodies: true,
+        opened: begun + opened,
+        received: begun + received,
+    };
+    let ms = Duration::from_millis;
+    // Decided 0.1 s before it was received at 5 s.
+    lags.acked(&acked("7.1", 1.9, ms(5000), ms(0)), begun + ms(5010));
+    let first = lags.lately().unwrap();
+    assert!((first.0 - 0.11).abs() < 0.002, "{first:?}");
+    assert!(lags.lately().is_none(), "since the last look");
+    // Another, a second later: sent late with a fresher lease, it is the same decision.
+    lags.acked(&acked("7.1", 1.9, ms(6000), ms(0)), begun + ms(6000));
+    let second_ = lags.lately().unwrap();
+    assert!((second_.0 - 1.1).abs() < 0.02, "{second_:?}");
+    // One that came after the decision tells nothing of it, and what is no version neither.
+    lags.acked(&acked("7.1", 1.9, ms(9000), ms(8000)), begun + ms(9000));
+    lags.acked(&acked("nonsense", 1.9, ms(9000), ms(0)), begun + ms(9000));
+    assert!(lags.lately().is_none() && lags.highest() == Some((7, 1)));
+    let all = lags.all().unwrap();
+    assert!(all.0 < 0.2 && all.1 > 1.0, "{all:?}");
+    // However many plans there are.
+    for number in 2..2000u64 {
+        let plan = format!("7.{number}");
+        let at = ms(10_000 + number * 10);
+        lags.acked(&Acked { plan: &plan, ..acked("", 2.0, at, ms(0)) }, begun + at);
+    }
+    assert!(lags.len() <= 256 && lags.highest() == Some((7, 1999)), "{}", lags.len());
+}
