Control service counts connections, bytes by type, refusals by reason, waiting responses

Scale tests need what the service itself can say: connections of servers (open, accepted), bytes of their reports, streams opened, bytes of responses by type and by whether they carry content, the most responses that waited for one stream's socket, and refused reports by why. Counted where it happens, shown on /metrics.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -84,6 +84,10 @@
     /// Times that no plan could be made.
     pub none: u64,
     pub cut: u64,
+    /// Streams that proxies opened.
+    pub opened: u64,
+    /// Responses that waited for one stream's socket at once, the most so far.
+    pub waiting_most: usize,
     pub ended: Counts,
 }
 
@@ -145,6 +149,7 @@
     pub fn open(&mut self, now: f64, id: Id, node: &str, zone: &str, incremental: bool) {
         let profile = Profile { zone: zone.into(), slot: self.told.subsets.slot(node) };
         let peer = Peer { node: node.into(), profile, stream: Stream::new(incremental), opened: now };
+        self.totals.opened += 1;
         self.peers.insert(id, peer);
     }
 
--- a/crates/control/src/serve/ads.rs
+++ b/crates/control/src/serve/ads.rs
@@ -142,7 +142,7 @@
 
 impl Front {
     /// Runs one stream: its requests to the core, what comes back as `make` writes it.
-    async fn stream<Q: Said, A: Send + 'static>(
+    async fn stream<Q: Said, A: Message + 'static>(
         &self,
         request: tonic::Request<Streaming<Q>>,
         incremental: bool,
@@ -185,7 +185,9 @@
                             let _ = answers.try_send(Err(Status::aborted("cut: connect anew")));
                             break;
                         };
-                        if answers.send(Ok(make(&push, &name))).await.is_err() {
+                        let answer = make(&push, &name);
+                        desk.meters.response(&push, answer.encoded_len());
+                        if answers.send(Ok(answer)).await.is_err() {
                             break;
                         }
                     }
--- a/crates/control/src/serve/mod.rs
+++ b/crates/control/src/serve/mod.rs
@@ -2,6 +2,7 @@
 //! the debug view are tasks of their own that never touch it.
 
 pub mod ads;
+pub mod meters;
 pub mod reports;
 pub mod tls;
 pub mod view;
@@ -9,6 +10,7 @@
 use crate::core::{Core, Id, Snapshot, Told};
 use crate::stream::{Cut, Push, Request};
 use crate::view::Report;
+use meters::Meters;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -82,6 +84,7 @@
 pub struct Desk {
     words: mpsc::Sender<Word>,
     pub most_proxies: usize,
+    pub meters: Arc<Meters>,
 }
 
 impl Desk {
@@ -172,7 +175,7 @@
     };
     let (words, queue) = mpsc::channel(QUEUE);
     let (stop, stopped) = watch::channel(false);
-    let desk = Desk { words, most_proxies: setup.most_proxies };
+    let desk = Desk { words, most_proxies: setup.most_proxies, meters: Arc::default() };
     let snapshot = setup.snapshot.as_deref().and_then(load);
     // Above every earlier life's, whatever became of the clock or the file.
     let epoch = snapshot.as_ref().map_or(0, |s| s.epoch + 1).max(unix() as u64);
@@ -260,7 +263,11 @@
 /// Hands a response to its stream's task. One whose queue is full reads too slowly, and is cut.
 fn hand(core: &mut Core, streams: &mut Streams, id: Id, push: Result<Push, Cut>) {
     let handed = match (push, streams.get(&id)) {
-        (Ok(push), Some(out)) => out.try_send(push).is_ok(),
+        (Ok(push), Some(out)) => {
+            let handed = out.try_send(push).is_ok();
+            core.totals.waiting_most = core.totals.waiting_most.max(out.max_capacity() - out.capacity());
+            handed
+        }
         _ => false,
     };
     if !handed {
--- a/crates/control/src/serve/reports.rs
+++ b/crates/control/src/serve/reports.rs
@@ -28,7 +28,12 @@
 
 async fn read(stream: TcpStream, desk: &Desk) -> Result<(), Fault> {
     let mut lines = Lines::new(stream, MOST_LINE);
+    // Dropped before the socket is: whoever sees the connection end sees the count without it.
+    let _held = desk.meters.report_connection();
+    let mut counted = 0;
     while let Some(report) = lines.within(SILENT).await? {
+        desk.meters.report_bytes.add(lines.bytes() - counted);
+        counted = lines.bytes();
         desk.tell(Word::Report(report)).await;
     }
     Ok(())
--- a/crates/control/src/serve/view.rs
+++ b/crates/control/src/serve/view.rs
@@ -8,6 +8,7 @@
 use axum::{Json, Router};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use serde_json::{json, Value};
@@ -52,10 +53,11 @@
 }
 
 async fn metrics(State(desk): State<Desk>) -> impl IntoResponse {
-    let told = desk.ask(|core, now| {
+    let meters = desk.meters.clone();
+    let told = desk.ask(move |core, now| {
         let (counts, totals, serial) = (core.counts(), core.totals, core.serial());
         let age = core.plan().map_or(f64::INFINITY, |plan| now - plan.made);
-        let lines: [(&str, &str, &str, f64); 17] = [
+        let lines: [(&str, &str, &str, f64); 22] = [
             ("plan_age_seconds", "gauge", "Since the plan in force was decided", age),
             ("plan_number", "gauge", "Number of the plan in this life", serial.number as f64),
             ("plans_total", "counter", "Plans decided", totals.plans as f64),
@@ -83,6 +85,26 @@
                 counts.coalesced as f64,
             ),
             ("cut_total", "counter", "Streams cut", totals.cut as f64),
+            ("streams_total", "counter", "Streams that proxies opened", totals.opened as f64),
+            (
+                "responses_waiting_most",
+                "gauge",
+                "Responses that waited for one stream's socket at once, the most so far",
+                totals.waiting_most as f64,
+            ),
+            (
+                "report_connections",
+                "gauge",
+                "Connections of servers that are open",
+                meters.report_connections.get() as f64,
+            ),
+            (
+                "report_connections_total",
+                "counter",
+                "Connections of servers",
+                meters.report_connections_total.get() as f64,
+            ),
+            ("report_bytes_total", "counter", "Bytes of reports", meters.report_bytes.get() as f64),
         ];
         let mut all = Registry::with_prefix("puffinladder_control");
         for (name, kind, help, value) in lines {
@@ -97,6 +119,27 @@
                 all.register(name, help, gauge);
             }
         }
+        type Labelled = Family<Vec<(String, String)>, Counter>;
+        let labels = |all: &[(&str, &str)]| {
+            all.iter().map(|(name, value)| ((*name).into(), (*value).into())).collect()
+        };
+        let refused = Labelled::default();
+        for (reason, count) in core.views().refusals.told() {
+            refused.get_or_create(&labels(&[("reason", reason)])).inc_by(count);
+        }
+        all.register("reports_refused_by_reason", "Reports refused, by why", refused);
+        let bytes = Labelled::default();
+        for (kind, content, renewals) in meters.responses() {
+            let kind = format!("{kind:?}").to_lowercase();
+            for (what, count) in [("content", content), ("renewal", renewals)] {
+                bytes.get_or_create(&labels(&[("type", &kind), ("what", what)])).inc_by(count);
+            }
+        }
+        all.register(
+            "response_bytes",
+            "Bytes of responses, by type and by whether they carry content",
+            bytes,
+        );
         let mut text = String::new();
         encode(&mut text, &all).map(|()| text).unwrap_or_default()
     });
--- a/crates/control/src/stream.rs
+++ b/crates/control/src/stream.rs
@@ -122,6 +122,13 @@
     pub lease: Option<f64>,
 }
 
+impl Push {
+    /// Whether it renews leases only.
+    pub fn heartbeat(&self) -> bool {
+        !self.pieces.is_empty() && self.removed.is_empty() && self.pieces.iter().all(|piece| piece.heartbeat)
+    }
+}
+
 /// Why a stream is to end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cut {
@@ -406,15 +413,14 @@
                 topic.holds.keys().filter(|name| !sent.contains(name.as_str()) && !set.contains_key(*name));
             versions.extend(gone.map(|name| (name.clone(), None)));
         }
-        let heartbeat =
-            pieces.iter().all(|piece| piece.heartbeat) && removed.is_empty() && !pieces.is_empty();
-        *if heartbeat { &mut self.counts.heartbeats } else { &mut self.counts.sent } += 1;
         let serial = world.serial;
         let flight = Flight { nonce: nonce.clone(), serial, versions, since: now };
         topic.flight = Some(flight);
         (topic.waiting, topic.sent_at) = (Serial::default(), now);
         let lease = kind.ages().then_some(left);
-        Some(Push { kind, serial, nonce, pieces, removed, lease })
+        let push = Push { kind, serial, nonce, pieces, removed, lease };
+        *if push.heartbeat() { &mut self.counts.heartbeats } else { &mut self.counts.sent } += 1;
+        Some(push)
     }
 
     /// The oldest plan among the types that it asked for, as acknowledged.
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -194,6 +194,41 @@
     /// Reports by what was made of them.
     pub taken: u64,
     pub refused: u64,
+    pub refusals: Refusals,
+}
+
+/// Refused reports by why they were.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refusals {
+    pub doubled: u64,
+    pub overtaken: u64,
+    pub earlier_life: u64,
+    pub impossible: u64,
+    pub full: u64,
+}
+
+impl Refusals {
+    fn count(&mut self, verdict: Verdict) {
+        *match verdict {
+            Verdict::Taken => return,
+            Verdict::Doubled => &mut self.doubled,
+            Verdict::Overtaken => &mut self.overtaken,
+            Verdict::EarlierLife => &mut self.earlier_life,
+            Verdict::Impossible(_) => &mut self.impossible,
+            Verdict::Full => &mut self.full,
+        } += 1;
+    }
+
+    /// What each reason is called, with how often it was one.
+    pub fn told(&self) -> [(&'static str, u64); 5] {
+        [
+            ("doubled", self.doubled),
+            ("overtaken", self.overtaken),
+            ("earlier-life", self.earlier_life),
+            ("impossible", self.impossible),
+            ("full", self.full),
+        ]
+    }
 }
 
 impl Views {
@@ -205,6 +240,7 @@
     pub fn take(&mut self, now: f64, report: Report) -> Verdict {
         let verdict = self.judge(now, report);
         *if verdict == Verdict::Taken { &mut self.taken } else { &mut self.refused } += 1;
+        self.refusals.count(verdict);
         verdict
     }
 
--- a/crates/control/tests/sockets.rs
+++ b/crates/control/tests/sockets.rs
@@ -207,4 +207,45 @@
     assert!(get("/servers").await.contains("\"belief\":1.0"));
     assert!(get("/proxies").await.contains("\"node\":\"p3\""));
     assert!(get("/metrics").await.contains("puffinladder_control_proxies 4"));
+    let value = |text: &str, name: &str| -> f64 {
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+            .unwrap_or_else(|| panic!("{name}: {text}"))
+    };
+    let renewed = |text: &str| {
+        let of =
+            |kind| format!("puffinladder_control_response_bytes_total{{type=\"{kind}\",what=\"renewal\"}}");
+        ["endpoints", "routes"].into_iter().all(|kind| value(text, &of(kind)) > 0.0)
+    };
+    let end = Instant::now() + Duration::from_secs(20);
+    let told = loop {
+        let told = get("/metrics").await;
+        if renewed(&told) {
+            break told;
+        }
+        assert!(Instant::now() < end, "no lease was renewed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let told = |name: &str| value(&told, &format!("puffinladder_control_{name}"));
+    // All servers report over one connection; the strangers' four are over.
+    assert_eq!((told("report_connections"), told("report_connections_total")), (1.0, 5.0));
+    assert!(told("report_bytes_total") > 100.0 * told("reports_taken_total"));
+    assert_eq!(told("streams_total"), 4.0);
+    assert!((1.0..=4.0).contains(&told("responses_waiting_most")));
+    for kind in ["cluster", "endpoints", "listener", "routes"] {
+        let bytes = |what: &str| told(&format!("response_bytes_total{{type=\"{kind}\",what=\"{what}\"}}"));
+        assert!(bytes("content") > 0.0, "{kind}");
+        assert_eq!(bytes("renewal") > 0.0, ["endpoints", "routes"].contains(&kind), "{kind}");
+    }
+    // A line that is no report never gets as far as being judged.
+    assert_eq!(told("reports_refused_by_reason_total{reason=\"impossible\"}"), 0.0);
+    let doubled = format!("{}\n", serde_json::to_string(&report(90)).unwrap()).repeat(3);
+    let mut stream = TcpStream::connect(running.reports).await.unwrap();
+    stream.write_all(doubled.as_bytes()).await.unwrap();
+    let end = Instant::now() + Duration::from_secs(20);
+    let refused = "puffinladder_control_reports_refused_by_reason_total{reason=\"doubled\"}";
+    while value(&get("/metrics").await, refused) < 2.0 {
+        assert!(Instant::now() < end);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
