--- a/crates/cli/src/control/mod.rs
+++ b/crates/cli/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod town;
 mod watch;
 
+use crate::fleet::Ground;
 use crate::say::{Done, Wrong};
 use crate::serve::runtime;
 use clap::{Args, Subcommand};
@@ -15,8 +16,10 @@
 use puffinladder_control::serve::{start, Setup, Tls};
 use puffinladder_control::stream::Lease;
 use puffinladder_control::view::{Bounds, Report, Verdict, Views};
+use puffinladder_owners::words::Event;
 use std::io::Write;
 use std::path::PathBuf;
+use tokio::signal::unix::{signal, SignalKind};
 
 #[derive(Args)]
 #[command(
@@ -122,6 +125,19 @@
     }
 }
 
+/// Serves on the proving ground until it is told to leave, and says where: proxies, servers, people. A silent server is forgotten after `forget` s.
+pub async fn on_ground(told: &Told, forget: f64, ground: &Ground) -> Done {
+    let mut setup = setup(told);
+    setup.told.bounds.forget = forget;
+    let mut term = signal(SignalKind::terminate())?;
+    let running = start(setup).await?;
+    let debug = running.debug.map_or(String::new(), |debug| debug.to_string());
+    ground.events.tell(&Event::Ready { listen: format!("{} {} {debug}", running.xds, running.reports) });
+    term.recv().await;
+    running.stop().await;
+    Ok(())
+}
+
 fn serve(settings: Option<PathBuf>) -> Done {
     let (name, settings) = crate::serve::settings(settings)?;
     let told = crate::serve::section(&name, "control", settings.control.clone())?;
@@ -132,7 +148,6 @@
         if let Some(view) = running.debug {
             tracing::info!("debug view on http://{view}");
         }
-        use tokio::signal::unix::{signal, SignalKind};
         let (mut term, mut hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
         loop {
             tokio::select! {
--- a/crates/cli/src/hollow.rs
+++ b/crates/cli/src/hollow.rs
@@ -85,6 +85,9 @@
     /// Requests a second that one server would be asked
     #[arg(long, default_value_t = 150.0)]
     rate: f64,
+    /// Each says the same in all its reports, so that nothing is decided anew
+    #[arg(long)]
+    calm: bool,
     /// Servers of the whole fleet, for equal shares of quotas [default: --count]
     #[arg(long)]
     fleet: Option<usize>,
@@ -241,7 +244,12 @@
             first: common.first,
             control: common.control.clone(),
             stewards: self.stewards.clone(),
-            load: Load { products: self.products, customers: self.customers, rate: self.rate },
+            load: Load {
+                products: self.products,
+                customers: self.customers,
+                rate: self.rate,
+                calm: self.calm,
+            },
             every: self.every,
             zones: common.zones,
             seed: common.seed,
--- a/crates/cli/src/prove/mod.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -1,8 +1,10 @@
 //! `puffinladder prove`: the proving ground, and the processes that it starts.
 
 mod bench;
+mod scale;
 mod seat;
 
+use crate::control;
 use crate::fleet::{archive, keeper, steward, Ground};
 use crate::say::{bar, Done, Wrong};
 use crate::serve;
@@ -107,6 +109,12 @@
         #[arg(long, default_value_t = 10.0)]
         span: f64,
     },
+    /// Control services with many servers and callers round them: what must not grow with them, as one table
+    #[command(after_help = "Examples:\n  puffinladder prove scale\n  \
+        puffinladder prove scale steady dead --servers 200 --callers 1500 --keep runs\n\n\
+        Stories that compare play three times as many servers, or callers, too. Judged by counts that the processes\n\
+        report, never by time. What fails leaves its folder, with settings and logs.")]
+    Scale(scale::Line),
     /// One process of the ground; its clock and its disk are at the ground's mercy, which tells it on standard input
     #[command(hide = true)]
     Part {
@@ -125,6 +133,9 @@
         /// A bug that the checkers must find
         #[arg(long)]
         plant: Option<Planted>,
+        /// s until a control service forgets a silent server
+        #[arg(long, default_value_t = 60.0)]
+        forget: f64,
         #[command(flatten)]
         seat: seat::Told,
     },
@@ -136,6 +147,7 @@
     Steward,
     Archive,
     Seat,
+    Control,
 }
 
 pub fn run(line: Line) -> Done {
@@ -159,11 +171,12 @@
             let setup = ground(std::env::temp_dir(), false, None)?;
             bench::bench(&setup, rounds, &instances, parts, span)
         }
-        (Some(Command::Part { kind, settings, found, join, rate, wall, plant, seat }), _) => {
+        (Some(Command::Scale(line)), _) => scale::scale(line),
+        (Some(Command::Part { kind, settings, found, join, rate, wall, plant, forget, seat }), _) => {
             let clock = Clock::skewed(rate, wall);
             let ground =
                 Ground { clock, events: Events(true), sync_pause: Default::default(), planted: plant };
-            part(kind, settings, found, join, &seat, &ground)
+            part(kind, settings, found, join, forget, &seat, &ground)
         }
     }
 }
@@ -277,7 +290,15 @@
     Err(Wrong::Failed(format!("schedules {bad:?} failed")))
 }
 
-fn part(kind: Kind, settings: PathBuf, found: bool, join: bool, seat: &seat::Told, ground: &Ground) -> Done {
+fn part(
+    kind: Kind,
+    settings: PathBuf,
+    found: bool,
+    join: bool,
+    forget: f64,
+    seat: &seat::Told,
+    ground: &Ground,
+) -> Done {
     let (name, settings) = serve::settings(Some(settings))?;
     serve::log(&settings);
     let told = ground.clone();
@@ -297,6 +318,10 @@
             let told = serve::section(&name, "steward", settings.steward)?;
             runtime.block_on(steward::serve_duties(&told, ground))
         }
+        Kind::Control => {
+            let told = serve::section(&name, "control", settings.control)?;
+            runtime.block_on(control::on_ground(&told, forget, ground))
+        }
         Kind::Seat => runtime.block_on(seat::sit(seat, ground)),
         Kind::Archive => {
             let told = serve::section(&name, "archive", settings.archive)?;
--- /dev/null
+++ b/crates/cli/src/prove/scale.rs
@@ -0,0 +1,73 @@
+//! `puffinladder prove scale`: the scale tests, at any size.
+
+use crate::say::{Done, Wrong};
+use crate::serve;
+use clap::Args;
+use puffinladder_proving::scale::stories::play;
+use puffinladder_proving::scale::{Row, Setup, Size, Story};
+use std::io::Write;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Line {
+    /// steady, budget, change, restart, zone, cut, slow, dead [default: all]
+    stories: Vec<Story>,
+    #[arg(long, default_value_t = 60)]
+    servers: usize,
+    #[arg(long, default_value_t = 200)]
+    callers: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Keep every run in a folder here, whatever came of it
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+/// Of each: a sixth is lost, a third beside them reads slowly, and numbers from 60,000 on are for those who come beside.
+const LEAST: usize = 12;
+const MOST: usize = 15_000;
+
+pub fn scale(line: Line) -> Done {
+    for (key, value) in [("--servers", line.servers), ("--callers", line.callers)] {
+        if !(LEAST..=MOST).contains(&value) {
+            return Err(Wrong::Asked(format!("{key}: should be from {LEAST} to {MOST}")));
+        }
+    }
+    let size = Size { servers: line.servers, callers: line.callers };
+    let setup = Setup {
+        program: std::env::current_exe()?,
+        folder: line.keep.clone().unwrap_or_else(|| "prove-failed".into()),
+        keep: line.keep.is_some(),
+        seed: line.seed,
+    };
+    let stories = if line.stories.is_empty() { Story::ALL.to_vec() } else { line.stories };
+    let runtime = serve::runtime()?;
+    let mut out = std::io::stdout().lock();
+    let (mut asserted, mut bad) = (0, Vec::new());
+    for story in stories {
+        let told = runtime.block_on(play(story, size, &setup));
+        write!(out, "{told}")?;
+        out.flush()?;
+        asserted += told.rows.len();
+        for folder in &told.kept {
+            eprintln!("puffinladder: {story}: kept in {}", folder.display());
+        }
+        if !told.holds() {
+            let count = told.rows.iter().filter(|row| !Row::holds(row)).count();
+            bad.push(format!(
+                "{story} ({} of {})",
+                count + usize::from(told.fault.is_some()),
+                told.rows.len()
+            ));
+        }
+    }
+    if bad.is_empty() {
+        writeln!(
+            out,
+            "{asserted} things hold: {} servers, {} callers, seed {}",
+            size.servers, size.callers, line.seed
+        )?;
+        return Ok(());
+    }
+    Err(Wrong::Failed(format!("what does not hold: {}", bad.join(", "))))
+}
--- a/crates/hollow/src/draw.rs
+++ b/crates/hollow/src/draw.rs
@@ -70,6 +70,8 @@
     pub customers: usize,
     /// Requests a second to one server.
     pub rate: f64,
+    /// What the first report says is said by all: nothing is to be decided anew.
+    pub calm: bool,
 }
 
 /// One server's load, from one report to the next.
@@ -80,6 +82,8 @@
     /// Part of a request that the spans so far left over.
     left: f64,
     limit: f64,
+    /// What is said again and again.
+    said: Option<State>,
 }
 
 /// Share of the requests that is declined.
@@ -87,11 +91,26 @@
 
 impl Traffic {
     pub fn new(load: Load, seed: u64) -> Traffic {
-        Traffic { load, chance: Shuffle::new(seed), left: 0.0, limit: 4.0 }
+        Traffic { load, chance: Shuffle::new(seed), left: 0.0, limit: 4.0, said: None }
     }
 
     /// What happened in the `span` seconds since the last report. Few customers ask for most: those with low numbers.
     pub fn state(&mut self, span: f64) -> State {
+        if let Some(said) = &self.said {
+            return said.clone();
+        }
+        let drawn = self.draw(span);
+        if !self.load.calm {
+            return drawn;
+        }
+        // All servers alike in what shares go by, and nothing declined that proxies would drop.
+        let classes = drawn.classes.iter().map(|class| Class { declined: 0.0, ..*class }).collect();
+        let fixed = State { limit: 4.0, running: 2, takes: 0.01, pressure: 0.0, retry_after: 0.25, ..drawn };
+        let calm = State { classes, ..fixed };
+        self.said.insert(calm).clone()
+    }
+
+    fn draw(&mut self, span: f64) -> State {
         let chance = &mut self.chance;
         let due = self.load.rate * span + self.left;
         let requests = if self.load.products * self.load.customers == 0 { 0 } else { due as usize };
--- a/crates/proving/src/lib.rs
+++ b/crates/proving/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! [`schedule`] says what fails when, drawn from a seed or written by hand; [`shrink`] cuts a failing one down; [`pipe`] decides when bytes may pass a
 //! link; [`check`] and [`linear`] judge a history, [`measure`] reads times off it. None of these does I/O. [`relay`], [`process`] and [`ground`] do.
+//!
+//! [`scale`] starts control services with many servers and callers round them, and holds them to what must not grow.
 #![forbid(unsafe_code)]
 
 pub mod check;
@@ -15,5 +17,6 @@
 pub mod process;
 pub mod relay;
 pub mod rows;
+pub mod scale;
 pub mod schedule;
 pub mod shrink;
--- a/crates/proving/src/process.rs
+++ b/crates/proving/src/process.rs
@@ -39,6 +39,27 @@
         life: u32,
         log: &Path,
         news: mpsc::UnboundedSender<News>,
+    ) -> std::io::Result<Process> {
+        let who = who.to_string();
+        // Lines that are no event are passed over: the program may print what it likes.
+        Process::heard(program, args, log, move |line| {
+            let event = match line {
+                Some(line) => match serde_json::from_str(line) {
+                    Ok(event) => Some(event),
+                    Err(_) => return true,
+                },
+                None => None,
+            };
+            news.send(News { who: who.clone(), life, event }).is_ok()
+        })
+    }
+
+    /// Starts one whose lines go to `hear`, none at the end; it says whether more is wanted.
+    pub fn heard(
+        program: &Program,
+        args: &[String],
+        log: &Path,
+        hear: impl Fn(Option<&str>) -> bool + Send + 'static,
     ) -> std::io::Result<Process> {
         let log = File::options().create(true).append(true).open(log)?;
         let mut child = Command::new(&program.path)
@@ -49,16 +70,13 @@
             .stderr(log)
             .spawn()?;
         let (orders, out) = (child.stdin.take(), child.stdout.take());
-        let who = who.to_string();
         let read = move || {
-            // Lines that are no event are passed over: the program may print what it likes.
             for line in out.into_iter().flat_map(|out| BufReader::new(out).lines()).map_while(Result::ok) {
-                let Ok(event) = serde_json::from_str(&line) else { continue };
-                if news.send(News { who: who.clone(), life, event: Some(event) }).is_err() {
+                if !hear(Some(&line)) {
                     return;
                 }
             }
-            let _ = news.send(News { who, life, event: None });
+            hear(None);
         };
         std::thread::Builder::new().name("events".into()).stack_size(256 << 10).spawn(read)?;
         Ok(Process { child, orders, paused: false })
--- /dev/null
+++ b/crates/proving/src/scale/world.rs
@@ -0,0 +1,494 @@
+//! Control services and the processes of many servers and callers round them: started, hit, looked at.
+
+use super::{Must, Row, Setup, Size, Story};
+use crate::process::{Process, Program};
+use crate::relay::Relay;
+use puffinladder_owners::words::Event;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// s after which a wait is given up, and the run with it. Nothing is judged by it.
+const WAIT: f64 = 120.0;
+/// Between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long a question to a service may take, and the most that it may answer.
+const ASK: Duration = Duration::from_secs(10);
+const MOST: u64 = 64 << 20;
+/// s until a service forgets a silent server: sooner than it does by itself, so that a test need not wait for long.
+const FORGET: f64 = 6.0;
+/// Plans without any content after which nothing moves any more.
+const STILL: f64 = 8.0;
+/// How long a hollow process lives if the ground is gone.
+const SPAN: &str = "1h";
+/// s between two reports of a server, as it is told.
+pub const EVERY: f64 = 0.25;
+
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+/// A count that a service reports: its name, without what all have in common, and its labels.
+#[derive(Clone, Debug, Default)]
+pub struct Look(BTreeMap<String, f64>);
+
+impl Look {
+    /// Not a number where the service reports no such count: that holds nowhere.
+    pub fn get(&self, name: &str) -> f64 {
+        self.0.get(name).copied().unwrap_or(f64::NAN)
+    }
+    /// Bytes of responses, of all types, as content or as renewals.
+    pub fn response_bytes(&self, what: &str) -> f64 {
+        let of = |kind| self.get(&format!("response_bytes_total{{type=\"{kind}\",what=\"{what}\"}}"));
+        ["cluster", "endpoints", "listener", "routes"].into_iter().map(of).sum()
+    }
+    /// The same counts before anything happened.
+    pub fn nothing(&self) -> Look {
+        Look(self.0.keys().map(|name| (name.clone(), 0.0)).collect())
+    }
+    pub fn read(text: &str) -> Look {
+        let line = |line: &str| {
+            let (name, value) = line.strip_prefix("puffinladder_control_")?.rsplit_once(' ')?;
+            Some((name.to_string(), value.parse().ok()?))
+        };
+        Look(text.lines().filter_map(line).collect())
+    }
+}
+
+/// What a service says of one caller.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Caller {
+    pub node: String,
+    pub zone: String,
+    pub settled: bool,
+    pub open_for: f64,
+    pub sent: u64,
+    pub heartbeats: u64,
+}
+
+#[derive(Deserialize)]
+struct Callers {
+    proxies: Vec<Caller>,
+}
+
+/// What it says of one server: its own clock and its own count of reports.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Server {
+    pub instance: String,
+    pub sequence: u64,
+    pub made: f64,
+}
+
+#[derive(Deserialize)]
+struct Believed {
+    report: Server,
+}
+
+#[derive(Deserialize)]
+struct Servers {
+    servers: Vec<Believed>,
+}
+
+#[derive(Deserialize)]
+struct Plan {
+    epoch: f64,
+}
+
+/// A control service.
+struct Service {
+    process: Option<Process>,
+    ready: Arc<Mutex<Option<Vec<SocketAddr>>>>,
+    /// Kept from its first life on.
+    at: Option<Vec<SocketAddr>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Servers,
+    Callers,
+}
+
+/// The last that a hollow process told.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct Tick {
+    pub reconnects: u64,
+}
+
+/// What a hollow process plays.
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub kind: Kind,
+    pub count: usize,
+    pub first: usize,
+    pub zones: usize,
+    /// Services that it knows, by number, and whether a relay stands before each.
+    pub to: Vec<(usize, bool)>,
+}
+
+struct Party {
+    part: Part,
+    relays: Vec<Option<Relay>>,
+    process: Option<Process>,
+    tick: Arc<Mutex<Tick>>,
+}
+
+pub struct World<'a> {
+    setup: &'a Setup,
+    story: Story,
+    pub folder: PathBuf,
+    services: Vec<Service>,
+    parties: Vec<Party>,
+    pub rows: Vec<Row>,
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<'a> World<'a> {
+    /// Starts so many control services.
+    pub async fn start(setup: &'a Setup, story: Story, services: usize) -> Result<World<'a>, String> {
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let folder = setup.folder.join(format!("scale-{story}-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        let mut world =
+            World { setup, story, folder, services: Vec::new(), parties: Vec::new(), rows: Vec::new() };
+        for at in 0..services {
+            world.services.push(Service { process: None, ready: Arc::default(), at: None });
+            world.start_service(at).await?;
+        }
+        Ok(world)
+    }
+
+    /// Starts a service, at the addresses that it had before if it lived before.
+    pub async fn start_service(&mut self, at: usize) -> Result<(), String> {
+        let settings = self.folder.join(format!("control-{at}.scm"));
+        let service = &mut self.services[at];
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let given = service.at.clone().unwrap_or_else(|| vec![any; 3]);
+        let text = format!(
+            "(control (xds \"{}\") (reports \"{}\") (debug \"{}\") (most-proxies 100000))\n",
+            given[0], given[1], given[2]
+        );
+        std::fs::write(&settings, text).map_err(|e| format!("{}: {e}", settings.display()))?;
+        let program =
+            Program { path: self.setup.program.clone(), before: vec!["prove".into(), "part".into()] };
+        let args = [
+            "control".to_string(),
+            format!("--settings={}", settings.display()),
+            format!("--forget={FORGET}"),
+        ];
+        let log = self.folder.join(format!("control-{at}.log"));
+        *lock(&service.ready) = None;
+        let ready = service.ready.clone();
+        let hear = move |line: Option<&str>| {
+            if let Some(Ok(Event::Ready { listen })) = line.map(serde_json::from_str) {
+                *lock(&ready) = listen.split(' ').map(|at| at.parse().ok()).collect();
+            }
+            true
+        };
+        let started = Process::heard(&program, &args, &log, hear);
+        service.process = Some(started.map_err(|e| format!("{}: {e}", program.path.display()))?);
+        let end = Instant::now() + Duration::from_secs_f64(WAIT);
+        loop {
+            let ready = lock(&self.services[at].ready).clone();
+            if let Some(ready @ [_, _, _]) = ready.as_deref() {
+                self.services[at].at = Some(ready.to_vec());
+                return Ok(());
+            }
+            self.alive()?;
+            if Instant::now() > end {
+                return Err(format!("control service {at} does not start"));
+            }
+            sleep(LOOK / 5).await;
+        }
+    }
+
+    /// SIGKILL.
+    pub fn kill_service(&mut self, at: usize) {
+        self.services[at].process = None;
+    }
+
+    fn address(&self, kind: Kind, service: usize) -> Result<SocketAddr, String> {
+        let at = self.services[service].at.as_deref().unwrap_or_default();
+        let place = usize::from(kind == Kind::Servers);
+        at.get(place).copied().ok_or_else(|| format!("control service {service} never started"))
+    }
+
+    /// Starts a hollow process; all of it comes within the time given, `0s` is at once.
+    pub async fn play(&mut self, part: Part, within: &str) -> Result<usize, String> {
+        let mut relays = Vec::new();
+        for &(service, through) in &part.to {
+            let relay = match through {
+                true => {
+                    let seed = self.setup.seed ^ (self.parties.len() as u64) << 8;
+                    let relay = Relay::open(seed).await.map_err(|e| format!("a relay: {e}"))?;
+                    relay.lead_to(Some(self.address(part.kind, service)?));
+                    Some(relay)
+                }
+                false => None,
+            };
+            relays.push(relay);
+        }
+        self.parties.push(Party { part, relays, process: None, tick: Arc::default() });
+        let party = self.parties.len() - 1;
+        self.again(party, within)?;
+        Ok(party)
+    }
+
+    /// Starts it anew under its names.
+    pub fn again(&mut self, party: usize, within: &str) -> Result<(), String> {
+        let Party { part, relays, .. } = &self.parties[party];
+        let mut control = Vec::new();
+        for ((service, _), relay) in part.to.iter().zip(relays) {
+            let at = match relay {
+                Some(relay) => relay.at,
+                None => self.address(part.kind, *service)?,
+            };
+            control.push(at.to_string());
+        }
+        let mut args = vec![
+            match part.kind {
+                Kind::Servers => "servers".to_string(),
+                Kind::Callers => "callers".to_string(),
+            },
+            format!("--count={}", part.count),
+            format!("--first={}", part.first),
+            format!("--zones={}", part.zones),
+            format!("--control={}", control.join(",")),
+            format!("--seed={}", self.setup.seed),
+            format!("--start-within={within}"),
+            format!("--span={SPAN}"),
+        ];
+        match part.kind {
+            Kind::Servers => args.extend([format!("--every={}ms", EVERY * 1e3), "--calm".into()]),
+            Kind::Callers => args.push("--mode=delta".into()),
+        }
+        let program = Program { path: self.setup.program.clone(), before: vec!["hollow".into()] };
+        let log = self.folder.join(format!("party-{party}.log"));
+        let tick = Arc::new(Mutex::new(Tick::default()));
+        let told = tick.clone();
+        let hear = move |line: Option<&str>| {
+            if let Some(Ok(tick)) = line.map(serde_json::from_str) {
+                *lock(&told) = tick;
+            }
+            true
+        };
+        let started = Process::heard(&program, &args, &log, hear);
+        let party = &mut self.parties[party];
+        party.process = Some(started.map_err(|e| format!("{}: {e}", program.path.display()))?);
+        party.tick = tick;
+        Ok(())
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, party: usize) {
+        self.parties[party].process = None;
+    }
+
+    pub fn relays(&self, party: usize) -> impl Iterator<Item = &Relay> {
+        self.parties[party].relays.iter().flatten()
+    }
+
+    /// The last that it told of itself.
+    pub fn tick(&self, party: usize) -> Tick {
+        *lock(&self.parties[party].tick)
+    }
+
+    /// Whoever ended by itself is a fault.
+    fn alive(&mut self) -> Result<(), String> {
+        let services = self.services.iter_mut().enumerate();
+        let services = services.map(|(at, s)| (format!("control service {at}"), &mut s.process));
+        let parties = self.parties.iter_mut().enumerate();
+        let parties = parties.map(|(at, p)| (format!("hollow process {at}"), &mut p.process));
+        for (who, process) in services.chain(parties) {
+            if let Some(ended) = process.as_mut().and_then(Process::ended) {
+                return Err(format!("{who} ended by itself: {ended}, see {}", self.folder.display()));
+            }
+        }
+        Ok(())
+    }
+
+    async fn get(&self, service: usize, path: &str) -> Result<String, String> {
+        let at = self.services[service].at.as_deref().and_then(|at| at.get(2)).copied();
+        let at = at.ok_or("a service without a debug view")?;
+        let asked = async {
+            let mut stream = TcpStream::connect(at).await?;
+            let request = format!("GET {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n");
+            stream.write_all(request.as_bytes()).await?;
+            let mut text = String::new();
+            stream.take(MOST).read_to_string(&mut text).await?;
+            std::io::Result::Ok(text)
+        };
+        let named = |what: String| format!("control service {service}, {path}: {what}");
+        let text = timeout(ASK, asked).await.map_err(|_| named("no answer".into()))?;
+        let text = text.map_err(|e| named(e.to_string()))?;
+        let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| named("half an answer".into()))?;
+        match head.starts_with("HTTP/1.1 200") {
+            true => Ok(body.to_string()),
+            false => Err(named(head.lines().next().unwrap_or_default().to_string())),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, service: usize, path: &str) -> Result<T, String> {
+        let text = self.get(service, path).await?;
+        serde_json::from_str(&text).map_err(|e| format!("control service {service}, {path}: {e}"))
+    }
+
+    pub async fn look(&self, service: usize) -> Result<Look, String> {
+        Ok(Look::read(&self.get(service, "/metrics").await?))
+    }
+
+    /// By node.
+    pub async fn callers(&self, service: usize) -> Result<BTreeMap<String, Caller>, String> {
+        let all: Callers = self.read(service, "/proxies").await?;
+        Ok(all.proxies.into_iter().map(|caller| (caller.node.clone(), caller)).collect())
+    }
+
+    /// By instance.
+    pub async fn servers(&self, service: usize) -> Result<BTreeMap<String, Server>, String> {
+        let all: Servers = self.read(service, "/servers").await?;
+        Ok(all.servers.into_iter().map(|s| (s.report.instance.clone(), s.report)).collect())
+    }
+
+    /// Of the plan in force.
+    pub async fn epoch(&self, service: usize) -> Result<f64, String> {
+        let plan: Plan = self.read(service, "/plan").await?;
+        Ok(plan.epoch)
+    }
+
+    /// Descriptors of a service's process, as the system counts them; the least of some looks, since the last question's own may not be
+    /// closed yet.
+    pub async fn descriptors(&self, service: usize) -> f64 {
+        let mut least = f64::MAX;
+        for _ in 0..5 {
+            sleep(LOOK / 5).await;
+            least = least.min(self.open(service));
+        }
+        least
+    }
+
+    /// The same, once there are no more than so many; in vain it is how many there are.
+    pub async fn descriptors_within(&self, service: usize, most: f64) -> f64 {
+        let end = Instant::now() + Duration::from_secs_f64(WAIT);
+        loop {
+            let open = self.open(service);
+            if open <= most || Instant::now() > end {
+                return open;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    fn open(&self, service: usize) -> f64 {
+        let process = self.services[service].process.as_ref();
+        let folder = process.map(|process| PathBuf::from(format!("/proc/{}/fd", process.id())));
+        let count = folder.and_then(|folder| std::fs::read_dir(folder).ok()).map(Iterator::count);
+        count.map_or(f64::NAN, |count| count as f64)
+    }
+
+    /// Looks at a service until it is as wanted; in vain is the end of the run.
+    pub async fn until(
+        &mut self,
+        service: usize,
+        what: &str,
+        mut wanted: impl FnMut(&Look) -> bool,
+    ) -> Result<Look, String> {
+        let end = Instant::now() + Duration::from_secs_f64(WAIT);
+        loop {
+            self.alive()?;
+            let look = self.look(service).await?;
+            if wanted(&look) {
+                return Ok(look);
+            }
+            if Instant::now() > end {
+                let names = [
+                    "servers",
+                    "servers_fresh",
+                    "report_connections",
+                    "proxies",
+                    "proxies_settled",
+                    "plans_total",
+                ];
+                let seen: Vec<String> =
+                    names.iter().map(|name| format!("{name} {}", look.get(name))).collect();
+                return Err(format!("waited in vain for {what}: {}", seen.join(", ")));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Looks at a service's callers until they are as wanted.
+    pub async fn until_callers(
+        &mut self,
+        service: usize,
+        what: &str,
+        wanted: impl Fn(&BTreeMap<String, Caller>) -> bool,
+    ) -> Result<BTreeMap<String, Caller>, String> {
+        let end = Instant::now() + Duration::from_secs_f64(WAIT);
+        loop {
+            self.alive()?;
+            let callers = self.callers(service).await?;
+            if wanted(&callers) {
+                return Ok(callers);
+            }
+            if Instant::now() > end {
+                return Err(format!("waited in vain for {what}: {} callers", callers.len()));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Until all are there, all callers hold the plan, and nothing more is sent but renewals.
+    pub async fn stand(&mut self, service: usize, size: Size) -> Result<Look, String> {
+        let (servers, callers) = (size.servers as f64, size.callers as f64);
+        let mut since: Option<(f64, f64)> = None;
+        let still = move |look: &Look| {
+            let all = [("servers", servers), ("servers_fresh", servers), ("report_connections", servers)];
+            let all = all.into_iter().chain([("proxies", callers), ("proxies_settled", callers)]);
+            let (sent, plans) = (look.get("responses_total"), look.get("plans_total"));
+            if !all.into_iter().all(|(name, wanted)| look.get(name) == wanted) {
+                since = None;
+                return false;
+            }
+            match since {
+                Some((of, from)) if of == sent => plans >= from + STILL,
+                _ => {
+                    since = Some((sent, plans));
+                    false
+                }
+            }
+        };
+        self.until(service, "all to stand and nothing to move", still).await
+    }
+
+    /// Asserts.
+    pub fn must(&mut self, what: impl Into<String>, must: Must, seen: f64) {
+        self.rows.push(Row { story: self.story, what: what.into(), must, seen });
+    }
+
+    /// Ends it; its folder stays where something did not hold, or all are kept.
+    pub fn end(self, failed: bool) -> (Vec<Row>, Option<PathBuf>) {
+        let World { setup, folder, rows, services, parties, .. } = self;
+        // Killed, whatever still runs.
+        drop((services, parties));
+        let failed = failed || !rows.iter().all(Row::holds);
+        if failed || setup.keep {
+            return (rows, Some(folder));
+        }
+        remove(&folder);
+        (rows, None)
+    }
+}
+
+fn remove(folder: &Path) {
+    if let Err(e) = std::fs::remove_dir_all(folder) {
+        tracing::warn!("{}: {e}", folder.display());
+    }
+}
