--- a/crates/hollow/tests/common/mod.rs
+++ b/crates/hollow/tests/common/mod.rs
@@ -37,7 +37,7 @@
         first: 40,
         control: control.to_vec(),
         stewards: Vec::new(),
-        load: Load { products: 3, customers: 20, rate: 50.0 },
+        load: Load { products: 3, customers: 20, rate: 50.0, calm: false },
         every: Duration::from_millis(100),
         zones: 3,
         seed: 7,
--- a/crates/hollow/tests/draw.rs
+++ b/crates/hollow/tests/draw.rs
@@ -24,7 +24,7 @@
 
 #[test]
 fn the_same_seed_gives_the_same_load_at_the_rate_asked_for_and_only_pairs_that_saw_any() {
-    let load = Load { products: 7, customers: 300, rate: 150.0 };
+    let load = Load { products: 7, customers: 300, rate: 150.0, calm: false };
     for seed in 1..20 {
         let (mut one, mut two) = (Traffic::new(load.clone(), seed), Traffic::new(load.clone(), seed));
         let (mut asked, mut declined, mut settled) = (0.0, 0.0, 0.0);
@@ -47,7 +47,7 @@
         );
         assert!(declined > 0.0 && declined < 15.0, "seed {seed}: {declined}");
     }
-    let idle = Traffic::new(Load { products: 0, customers: 0, rate: 150.0 }, 1).state(0.25);
+    let idle = Traffic::new(Load { products: 0, customers: 0, rate: 150.0, calm: false }, 1).state(0.25);
     assert!(idle.classes.is_empty() && idle.settled == 0.0 && idle.takes == 0.0);
 }
 
@@ -77,3 +77,15 @@
         assert_eq!(version(wrong), None, "{wrong}");
     }
 }
+
+#[test]
+fn a_calm_server_says_the_same_in_every_report_and_declines_nothing() {
+    let load = Load { products: 7, customers: 300, rate: 150.0, calm: true };
+    let mut calm = Traffic::new(load.clone(), 3);
+    let first = calm.state(0.25);
+    assert!(first.classes.len() > 10 && first.classes.iter().all(|class| class.declined == 0.0));
+    assert!((0..20).all(|_| calm.state(0.25) == first));
+    let mut lively = Traffic::new(Load { calm: false, ..load }, 3);
+    let first = lively.state(0.25);
+    assert_ne!(lively.state(0.25), first);
+}
