--- a/crates/gauging/src/control.rs
+++ b/crates/gauging/src/control.rs
@@ -2,10 +2,12 @@
 //! and products that the reports name. One run tells of the service and of a caller.
 //!
 //! Bytes and messages are counted by the hollow processes: of the service all that they sent and got, of a caller its part of what the callers did.
-//! `latency` of the service is the callers' lag, as they read it off leases: how old a decision was when they took it.
+//! `latency` of the service is the callers' lag: from a plan's decision, by the age that its lease tells, to a caller's answer to its content. Callers say it
+//! for each second: of these the median of the medians, and the most of the 99th percentiles. Where no plan changed there is none.
 
 use crate::child::{Child, PATIENCE};
 use crate::{count, pass, Gauge, Sizes, Taken};
+use puffinladder_proving::measure::quantile;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -82,6 +84,15 @@
         self.0.iter().map(|(child, _)| serde_json::from_str(child.output().last()?).ok()).collect()
     }
 
+    /// All that they said after these lines.
+    fn since(&self, before: &[Line]) -> Vec<Line> {
+        let later = |(child, then): (&Child, &Line)| -> Vec<Line> {
+            let all = child.output().into_iter().filter_map(|line| serde_json::from_str::<Line>(&line).ok());
+            all.filter(|line| line.at > then.at).collect()
+        };
+        self.0.iter().map(|(child, _)| child).zip(before).flat_map(later).collect()
+    }
+
     /// Whether all are as `well` wants, by the last line of each.
     fn all(&self, well: impl Fn(&Line, u64) -> bool) -> bool {
         self.last()
@@ -171,15 +182,11 @@
     service.put("messages_received", from_servers.messages_sent + of_callers.messages_sent);
     service.put("sent", from_servers.received + of_callers.received);
     service.put("messages_sent", from_servers.messages_received + of_callers.messages_received);
-    let worst = |of: fn(&Line) -> Option<f64>| {
-        after
-            .2
-            .iter()
-            .filter_map(of)
-            .fold(None, |most: Option<f64>, lag| Some(most.map_or(lag, |most| most.max(lag))))
-    };
-    service.put_known("latency_p50", worst(|line| line.lag_p50));
-    service.put_known("latency_p99", worst(|line| line.lag_p99));
+    let lags = call.since(&before.2);
+    let mut middle: Vec<f64> = lags.iter().filter_map(|line| line.lag_p50).collect();
+    middle.sort_by(f64::total_cmp);
+    service.put_known("latency_p50", Some(quantile(&middle, 0.5)));
+    service.put_known("latency_p99", lags.iter().filter_map(|line| line.lag_p99).reduce(f64::max));
     let mut caller = Taken::of("proxy", span);
     let each = |of_all: f64| of_all / callers as f64;
     caller.put("received", each(of_callers.received));
