Tests of measuring know their processes by their own ids and folders, and read nobody's environment

A variable sought in every process's environment would have matched another checkout's run of the same test.

--- a/crates/cli/tests/gauging.rs
+++ b/crates/cli/tests/gauging.rs
@@ -189,28 +189,23 @@
     Gauge { program, seed: 1, span: 0.5, stamp: Stamp { cores: 1, ..Stamp::default() } }
 }
 
-/// Command lines of the processes that live and have this variable in their environment, whoever started them.
-fn marked(mark: &str) -> Vec<String> {
+/// Command lines of the processes that name this folder, which only those of one test do.
+fn naming(folder: &str) -> Vec<String> {
     let all = std::fs::read_dir("/proc").unwrap().flatten();
     let ids = all.filter_map(|one| one.file_name().to_str()?.parse::<u32>().ok());
-    let line = |id: u32| {
-        // One may end while it is looked at.
-        let environment = std::fs::read(format!("/proc/{id}/environ")).ok()?;
-        let variable = format!("GAUGED_FOR={mark}");
-        environment.split(|b| *b == 0).any(|one| one == variable.as_bytes()).then_some(())?;
-        std::fs::read_to_string(format!("/proc/{id}/cmdline")).ok()
-    };
-    ids.filter_map(line).collect()
+    // One may end while it is looked at.
+    let lines = ids.filter_map(|id| std::fs::read_to_string(format!("/proc/{id}/cmdline")).ok());
+    lines.filter(|line| line.contains(folder)).collect()
 }
 
 #[test]
 fn a_role_whose_program_ends_at_once_names_its_last_lines_and_no_child_is_left() {
     let folder = tempfile::tempdir().unwrap();
     let (text, script) = (folder.path().join("text"), folder.path().join("program"));
-    let mark = folder.path().display().to_string();
-    // Keepers start as they are; whoever is a steward says who else lives, and ends with a cause in its log.
+    let ids = folder.path().join("ids").display().to_string();
+    // Each notes its id, which stays the same. Keepers start as they are; whoever is a steward ends with a cause in its log.
     let lines = format!(
-        "#!/bin/sh\nexport GAUGED_FOR={mark}\n[ \"$1\" = steward ] && {{ echo 'no room for a steward here' >&2; exit 7; }}\nexec {PROGRAM} \"$@\"\n"
+        "#!/bin/sh\necho $$ >> {ids}\n[ \"$1\" = steward ] && {{ echo 'no room for a steward here' >&2; exit 7; }}\nexec {PROGRAM} \"$@\"\n"
     );
     std::fs::write(&text, lines).unwrap();
     // Written by another process: a program can't be started while any process has it open for writing, as one that another test forks would.
@@ -224,7 +219,11 @@
         "{fault}"
     );
     assert!(fault.contains("steward-turns/servers at 2 servers"), "{fault}");
-    assert_eq!(marked(&mark), Vec::<String>::new());
+    let started = std::fs::read_to_string(&ids).unwrap();
+    assert_eq!(started.lines().count(), 4, "three keepers and a steward: {started}");
+    // Killed and waited for: nothing of them is left, not even what the kernel keeps for whoever waits.
+    let left: Vec<&str> = started.lines().filter(|id| Path::new("/proc").join(id).exists()).collect();
+    assert_eq!(left, Vec::<&str>::new());
 }
 
 #[test]
@@ -235,9 +234,10 @@
     command
         .args(["capacity", "measure", "steward-turns", "--span", "60s", "--points"])
         .arg(folder.path().join("p.json"));
-    let mut child = command.env("GAUGED_FOR", &mark).stderr(std::process::Stdio::piped()).spawn().unwrap();
+    let mut child =
+        command.env("TMPDIR", folder.path()).stderr(std::process::Stdio::piped()).spawn().unwrap();
     // Three keepers, a steward and itself.
-    while marked(&mark).len() < 5 {
+    while naming(&mark).len() < 5 {
         assert!(child.try_wait().unwrap().is_none(), "it ended by itself");
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
@@ -245,7 +245,7 @@
     assert!(told.success());
     let out = child.wait_with_output().unwrap();
     assert_eq!(out.status.code(), Some(1), "{}", String::from_utf8_lossy(&out.stderr));
-    assert_eq!(marked(&mark), Vec::<String>::new());
+    assert_eq!(naming(&mark), Vec::<String>::new());
 }
 
 #[test]
