Servers know how old their configuration is, also where a line lay for long

An age that counts from when a line is read makes a line that lay in a stopped server's buffer look young. It counts now from when the acknowledgement was sent that the line answers, and a tag keeps faulty lines and strangers from making it younger.

--- a/crates/config/src/distributor.rs
+++ b/crates/config/src/distributor.rs
@@ -464,7 +464,7 @@
         }
         let Some(head) = history.known(history.stage().target(&name)) else { return };
         if now - server.told >= beat {
-            let tell = Tell::Target { head, age };
+            let tell = Tell::target(history.seal(), &name, head, age, server.serial);
             let cost = tell.bytes() as f64;
             if cost <= server.bucket.has && cost <= self.bucket.has {
                 server.bucket.has -= cost;
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -12,6 +12,7 @@
 use crate::content::{Change, Content};
 use crate::seal::{Digest, Head, Seal};
 use crate::words::{Ack, Piece, Refused, Tell, Way, BODY};
+use puffinladder_owners::sent::Sent;
 use puffinladder_owners::Owner;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -25,6 +26,8 @@
 const REFUSED: usize = 16;
 const CONFLICTS: usize = 8;
 const CAUSE: usize = 256;
+/// Acknowledgements that may be unanswered and still be counted from.
+const SENT: usize = 64;
 /// s between two acknowledgements where nothing happens.
 pub const BEAT: f64 = 1.0;
 /// The same for as long as a version is new, so that its owner soon knows how a server fares under it.
@@ -141,7 +144,7 @@
     target: Option<Head>,
     /// Until when what is in force is known to be what it should be.
     fresh: Option<f64>,
-    serial: u64,
+    sent: Sent,
     acked: Option<f64>,
     urgent: bool,
 }
@@ -192,7 +195,7 @@
             healthy: true,
             target: None,
             fresh: None,
-            serial: 0,
+            sent: Sent::after(0, SENT),
             acked: None,
             urgent: true,
         };
@@ -294,25 +297,32 @@
     }
 
     /// What a distributor tells.
-    pub fn hear(&mut self, now: f64, tell: &Tell, checker: &dyn Checker) -> Heard {
+    pub fn hear(&mut self, tell: &Tell, checker: &dyn Checker) -> Heard {
         match tell {
             Tell::Piece(piece) => self.piece(piece, checker),
-            Tell::Target { head, age } => self.told(now, *head, *age),
+            Tell::Target { head, age, serial, tag } => self.told(*head, *age, *serial, *tag),
         }
     }
 
-    fn told(&mut self, now: f64, head: Head, age: f64) -> Heard {
+    fn told(&mut self, head: Head, age: f64, serial: u64, tag: u64) -> Heard {
         if !(age >= 0.0 && age.is_finite()) {
             self.counts.unfit += 1;
             return Heard::Wrong(Fault::Unfit("an age"));
         }
+        if tag != self.seal.tag(&self.me.instance, head, age, serial) {
+            self.counts.unfit += 1;
+            return Heard::Wrong(Fault::Unfit("its tag"));
+        }
         if let Some(conflict) = self.conflict(head) {
             return Heard::Wrong(Fault::Conflict(conflict));
         }
         // A canary is ahead of what others are told.
         self.target = Some(head);
         if self.in_force.head.number >= head.number {
-            self.fresh = Some(self.fresh.unwrap_or(f64::MIN).max(now - age));
+            // An answer to nothing that is known to have been sent says nothing of its age.
+            if let Some(sent) = self.sent.at(serial) {
+                self.fresh = Some(self.fresh.unwrap_or(f64::MIN).max(sent - age));
+            }
             return Heard::Old;
         }
         Heard::Gap
@@ -480,11 +490,11 @@
             return None;
         }
         (self.acked, self.urgent) = (Some(now), false);
-        self.serial += 1;
+        let serial = self.sent.send(now);
         Some(Ack {
             owner: self.me.clone(),
             zone: self.zone.clone(),
-            serial: self.serial,
+            serial,
             in_force: self.in_force.head,
             holds: self.holds().head,
             got: self.bodies.last().map(|body| (body.way, body.bytes.len() as u32)),
--- a/crates/config/src/seal.rs
+++ b/crates/config/src/seal.rs
@@ -41,6 +41,19 @@
         Digest(*hash.finalize().as_bytes())
     }
 
+    /// Of a distributor's word to one server that its content is so old.
+    pub fn tag(&self, server: &str, head: Head, age: f64, serial: u64) -> u64 {
+        let mut hash = self.key.as_ref().map_or_else(blake3::Hasher::new, blake3::Hasher::new_keyed);
+        hash.update(b"puffinladder config target 1\0");
+        hash.update(&head.number.to_le_bytes());
+        hash.update(&head.digest.0);
+        hash.update(&age.to_bits().to_le_bytes());
+        hash.update(&serial.to_le_bytes());
+        hash.update(server.as_bytes());
+        let bytes = *hash.finalize().as_bytes();
+        u64::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7]])
+    }
+
     pub fn head(&self, number: u64, content: &Content) -> Head {
         Head { number, digest: self.digest(number, content) }
     }
--- a/crates/config/src/words.rs
+++ b/crates/config/src/words.rs
@@ -2,7 +2,7 @@
 //! line takes more than a server's credit and a body that broke off goes on where it was.
 
 use crate::content::{Change, Content};
-use crate::seal::{Digest, Head};
+use crate::seal::{Digest, Head, Seal};
 use puffinladder_owners::Owner;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
@@ -32,10 +32,14 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Tell {
     Piece(Piece),
-    /// What it should have, and how old this knowledge is: s since a majority of the keepers was heard.
+    /// What it should have, and how old this knowledge is: s since a majority of the keepers was heard. `serial` is the last of its
+    /// acknowledgements that was heard: the age counts from when that one was sent, or a line that lay somewhere would look young.
+    /// `tag` is [`Seal::tag`]'s: what a faulty line or a stranger says of the age must not look true.
     Target {
         head: Head,
         age: f64,
+        serial: u64,
+        tag: u64,
     },
 }
 
@@ -75,6 +79,10 @@
 }
 
 impl Tell {
+    pub fn target(seal: &Seal, server: &str, head: Head, age: f64, serial: u64) -> Tell {
+        Tell::Target { head, age, serial, tag: seal.tag(server, head, age, serial) }
+    }
+
     /// Bytes that it takes as a line.
     pub fn bytes(&self) -> usize {
         serde_json::to_vec(self).map_or(0, |line| line.len() + 1)
--- a/crates/config/src/words/tests.rs
+++ b/crates/config/src/words/tests.rs
@@ -6,8 +6,10 @@
 fn what_is_said_reads_back_as_it_was_meant() {
     let to = Seal::default().head(3, &Content::default());
     let way = Way { from: Some(Head::default()), to, total: 7 };
-    let tells =
-        [Tell::Piece(Piece { way, at: 2, bytes: vec![0, 255, 7] }), Tell::Target { head: to, age: 0.25 }];
+    let tells = [
+        Tell::Piece(Piece { way, at: 2, bytes: vec![0, 255, 7] }),
+        Tell::target(&Seal::default(), "n1", to, 0.25, 9),
+    ];
     for tell in tells {
         let line = serde_json::to_string(&tell).unwrap();
         assert_eq!(serde_json::from_str::<Tell>(&line).unwrap(), tell, "{line}");
