--- a/crates/config/src/rollout.rs
+++ b/crates/config/src/rollout.rs
@@ -145,6 +145,8 @@
     /// The last command, when it was given and at which entry of the history.
     given: Option<(Command, f64)>,
     over: bool,
+    /// There was no room for a server: nothing can be said of all of them.
+    full: bool,
 }
 
 impl Rollout {
@@ -160,6 +162,7 @@
             watch: None,
             given: None,
             over: false,
+            full: false,
         }
     }
 
@@ -173,6 +176,7 @@
 
     /// A server that there should be, whether it spoke or not: from whoever knows the fleet.
     pub fn expect(&mut self, now: f64, server: &str, zone: &str) {
+        self.full |= self.servers.len() >= self.rules.servers && !self.servers.contains_key(server);
         if self.servers.len() < self.rules.servers || self.servers.contains_key(server) {
             self.servers.entry(server.into()).or_insert_with(|| Server {
                 incarnation: 0,
@@ -428,7 +432,7 @@
             trial: history.stage().trial.as_ref().map(|t| (t.number, t.canaries.iter().cloned().collect())),
             have,
             of,
-            everywhere: of > 0 && have == of && now - self.began >= self.rules.learn,
+            everywhere: of > 0 && have == of && !self.full && now - self.began >= self.rules.learn,
             lagging,
             unsaved,
             taken_back: history.stage().taken_back.back().map(|back| (back.number, back.cause.clone())),
--- a/crates/config/src/rollout/tests.rs
+++ b/crates/config/src/rollout/tests.rs
@@ -192,6 +192,15 @@
     assert!(old.over());
 }
 
+#[test]
+fn an_owner_without_room_for_all_servers_says_nothing_of_all() {
+    let mut fleet = Fleet::new(4);
+    fleet.rollout = Rollout::begin(Rules { servers: 3, ..Rules::default() }, "owner", 1, 42, 0.0);
+    fleet.go(3.0, |_, _| true);
+    let status = fleet.status();
+    assert_eq!((status.have, status.of, status.everywhere), (3, 3, false));
+}
+
 #[test]
 fn without_anybody_to_try_it_nothing_is_released() {
     let mut fleet = Fleet::new(0);
