--- a/crates/capacity/src/estimate.rs
+++ b/crates/capacity/src/estimate.rs
@@ -298,6 +298,12 @@
         let (low, high) =
             values.iter().fold((f64::INFINITY, 0.0f64), |(low, high), v| (low.min(*v), high.max(*v)));
         let value = values.iter().sum::<f64>() / values.len() as f64;
+        // A cost does not fall as sizes rise: where more was seen at no larger a size, both scatter by so much at the least.
+        let inside = |point: &&&Point| {
+            point.sizes.iter().all(|(key, n)| at.get(key).is_none_or(|m| *n <= m * (1.0 + EXACT)))
+        };
+        let seen = points.iter().filter(inside).filter_map(|point| point.measures.get(measure).copied());
+        let high = seen.fold(high, f64::max);
         let form = "measured at this size".into();
         let known = Estimate { low, value, high, form, reach: 1.0, ..Estimate::none() };
         (!values.is_empty()).then_some(known)
--- a/crates/capacity/src/estimate/tests.rs
+++ b/crates/capacity/src/estimate/tests.rs
@@ -220,3 +220,13 @@
     let told = Costs::of(&points).at("steward-turns", "latency_p99", &sizes(&[("servers", 730.0)]));
     assert!(told.low == 5.0 && told.high == 5.0 && told.above[0].contains("no known shape"), "{told:?}");
 }
+
+/// A tail that was lucky at the very size of the plan keeps no budget that it broke at smaller ones.
+#[test]
+fn a_figure_measured_at_the_plan_s_size_reaches_up_to_what_was_seen_at_smaller_ones() {
+    let seen = [(10.0, 4.0), (100.0, 9.0), (300.0, 8.0), (730.0, 6.0), (1500.0, 70.0)];
+    let points = seen.map(|(n, v)| point("steward-turns", "servers", &[("servers", n)], "latency_p99", v));
+    let points = Points { points: points.into() };
+    let told = Costs::of(&points).at("steward-turns", "latency_p99", &sizes(&[("servers", 730.0)]));
+    assert_eq!((told.low, told.value, told.high), (6.0, 6.0, 9.0), "{told:?}");
+}
--- a/crates/gauging/src/series.rs
+++ b/crates/gauging/src/series.rs
@@ -104,7 +104,7 @@
     all.push(one(Run::Quota, "customers", &[("servers", 4.0)], &[100.0, 1000.0, 4000.0, 10_000.0]));
     all.push(one(Run::Quota, "servers", &[("customers", 20.0)], &[50.0, 150.0, 450.0]));
     // Off the cross of the two before: what is kept for each customer of each server shows here alone.
-    all.push(one(Run::Quota, "customers", &[("servers", 150.0)], &[1000.0, 4000.0]));
+    all.push(one(Run::Quota, "customers", &[("servers", 150.0)], &[100.0, 400.0]));
     all.push(one(Run::Turns, "servers", &[], &[50.0, 150.0, 450.0]));
     all.push(one(Run::Gather, "requests", &[("servers", 20.0)], &[1000.0, 3000.0, 6000.0, 12_000.0]));
     all.push(one(Run::Gather, "servers", &[("requests", 3000.0)], &[20.0, 80.0, 250.0]));
