A service that hears the smaller side of a cut plans for it

Symptom: callers of a control service that hears less than half of the servers had no plan from 33 s after a cut between regions until the other side was forgotten 60 s after it, and were sent to servers out of reach for 30 s before.

Cause: silence of more than `panic` of the servers was always taken for a fault of their reports; nothing asked whether the others were heard. All were trusted, shares stayed, and after max_panic_time nothing was decided. By the same rule a server that had been lost by itself was trusted again as soon as most fell silent.

Change: such a silence is confirmed once it has lasted `gone` while some server was heard without a gap (fleet/silence.rs); the silent ones fade over another `gone`, and shares and spill leave them in the usual bounded steps. A service that hears nobody, or all too late, still decides nothing after 30 s. A zone that was forgotten and comes back without load gets its callers back in steps. The log names each change of what the silence is taken for.

--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -6,12 +6,16 @@
 //! exceeds it by is how long it was on its way. So a late report is known as late whatever the clocks say.
 
 mod clock;
+mod silence;
 
 #[cfg(test)]
 mod tests;
 
+pub use silence::Silence;
+
 use crate::report::{InvalidReport, LoadReport};
 use clock::ClockOffset;
+use silence::Hearing;
 use std::collections::BTreeMap;
 
 /// What became of a report.
@@ -36,11 +40,12 @@
 pub struct FleetConfig {
     /// Seconds for which a report counts in full.
     pub fresh_for: f64,
-    /// Seconds from which a report counts for nothing; between `fresh_for` and this, ever less.
+    /// Seconds from which a report counts for nothing; between `fresh_for` and this, ever less. A silence that most servers share
+    /// is confirmed after as long, and takes as long to count in full.
     pub expired_after: f64,
     /// Seconds for which a silent server is remembered, to tell how many are silent.
     pub forget_after: f64,
-    /// Fraction of the servers that may be silent at once; with more, the reports are suspected, not the servers.
+    /// Fraction of the servers that may be silent at once; with more, the reports are suspected first, not the servers.
     pub panic_threshold: f64,
     /// Servers that are remembered at the most.
     pub max_servers: usize,
@@ -66,13 +71,26 @@
     created_at: f64,
     /// When it was received.
     received_at: f64,
+    /// Since when it has been heard without a gap.
+    heard_since: f64,
 }
 
 impl ServerRecord {
     /// A server of which no earlier report counts.
     fn new(now: f64, report: LoadReport) -> ServerRecord {
         let clock_offset = ClockOffset::new(now, report.created_at);
-        ServerRecord { clock_offset, created_at: now, received_at: now, report }
+        ServerRecord { clock_offset, created_at: now, received_at: now, heard_since: now, report }
+    }
+
+    /// Takes the next report of the same process, and counts it from when it was made.
+    fn update(&mut self, now: f64, report: LoadReport, fresh_for: f64) {
+        let transit_time = self.clock_offset.transit_time(now, report.created_at);
+        if now - self.created_at > fresh_for || transit_time > fresh_for {
+            self.heard_since = now;
+        }
+        self.created_at = now - transit_time;
+        self.received_at = now;
+        self.report = report;
     }
 }
 
@@ -85,6 +103,8 @@
     pub confidence: f64,
     /// Seconds since it was made.
     pub age: f64,
+    /// It is silent together with most servers: what it has is withdrawn step by step, since the others could not take it at once.
+    pub withdrawn_gradually: bool,
 }
 
 /// Rejected reports by reason.
@@ -132,6 +152,8 @@
 pub struct FleetView {
     config: FleetConfig,
     servers: BTreeMap<String, ServerRecord>,
+    /// As last assessed.
+    silence: Silence,
     /// Reports that were accepted.
     pub accepted: u64,
     /// Reports that were rejected, for any reason.
@@ -183,10 +205,7 @@
         if report.created_at < last.created_at {
             return ReportOutcome::Invalid(InvalidReport::ClockWentBack);
         }
-        let transit_time = known.clock_offset.transit_time(now, report.created_at);
-        known.created_at = now - transit_time;
-        known.received_at = now;
-        known.report = report;
+        known.update(now, report, self.config.fresh_for);
         ReportOutcome::Accepted
     }
 
@@ -209,32 +228,78 @@
         });
     }
 
-    /// Whether so many servers went silent at once that it must be the reports, not the servers. Draining servers don't count.
-    pub fn in_panic(&self, now: f64) -> bool {
-        let staying = self.servers.values().filter(|known| !known.report.is_draining());
-        let (mut all, mut silent) = (0usize, 0usize);
-        for known in staying {
-            all += 1;
-            silent += usize::from(now - known.created_at > self.config.fresh_for);
+    /// Judges anew whether most servers are silent, and whether that is confirmed. To be called before each plan.
+    pub fn assess_silence(&mut self, now: f64) {
+        self.silence = self.silence.next(now, self.hearing(now), self.config.expired_after);
+    }
+
+    /// What the silence of servers was taken for when it was last assessed.
+    pub fn assessed_silence(&self) -> Silence {
+        self.silence
+    }
+
+    /// What is heard now. Draining servers don't count: they are about to go silent by themselves.
+    fn hearing(&self, now: f64) -> Hearing {
+        let FleetConfig { fresh_for, expired_after, panic_threshold, .. } = self.config;
+        let (mut staying, mut silent, mut any_heard_steadily) = (0usize, 0usize, false);
+        for known in self.servers.values().filter(|known| !known.report.is_draining()) {
+            staying += 1;
+            if now - known.created_at > fresh_for {
+                silent += 1;
+            } else {
+                any_heard_steadily |= now - known.heard_since >= expired_after;
+            }
+        }
+        let most_are_silent = silent as f64 > panic_threshold * staying as f64;
+        Hearing { most_are_silent, any_heard: silent < staying, any_heard_steadily }
+    }
+
+    /// What the silence of servers is taken for now.
+    pub fn silence(&self, now: f64) -> Silence {
+        match (self.hearing(now).most_are_silent, self.silence) {
+            (false, _) => Silence::Few,
+            // Not assessed yet: nothing is known of how it was before, and all are trusted.
+            (true, Silence::Few) => Silence::Suspected { since: f64::NEG_INFINITY },
+            (true, assessed) => assessed,
         }
-        silent as f64 > self.config.panic_threshold * all as f64
     }
 
-    /// All servers, ordered by name. In panic the silent ones are trusted as they last were.
+    /// Whether so many servers went silent at once that the reports are suspected, not the servers.
+    pub fn in_panic(&self, now: f64) -> bool {
+        self.silence(now).is_suspected()
+    }
+
+    /// All servers, ordered by name. While the reports are suspected the silent servers are trusted as they were before.
     pub fn servers(&self, now: f64) -> Vec<ServerView<'_>> {
-        let in_panic = self.in_panic(now);
-        let FleetConfig { fresh_for, expired_after, .. } = self.config;
-        let confidence = |age: f64| match in_panic {
-            true => 1.0,
-            false => ((expired_after - age) / (expired_after - fresh_for)).clamp(0.0, 1.0),
+        let silence = self.silence(now);
+        let view = |known| self.view(now, silence, known);
+        self.servers.values().map(view).collect()
+    }
+
+    fn view<'a>(&self, now: f64, silence: Silence, known: &'a ServerRecord) -> ServerView<'a> {
+        let age = now - known.created_at;
+        let own_confidence = self.confidence_at(age);
+        let confidence = match silence {
+            Silence::Few => own_confidence,
+            Silence::Suspected { since } => own_confidence.max(self.confidence_before(since, known)),
+            Silence::Confirmed { since, confirmed_at } => {
+                let left = 1.0 - (now - confirmed_at) / self.config.expired_after;
+                own_confidence.max(self.confidence_before(since, known) * left)
+            }
         };
-        self.servers
-            .values()
-            .map(|known| {
-                let age = now - known.created_at;
-                ServerView { report: &known.report, confidence: confidence(age), age }
-            })
-            .collect()
+        let withdrawn_gradually = silence != Silence::Few && age > self.config.fresh_for;
+        ServerView { report: &known.report, confidence, age, withdrawn_gradually }
+    }
+
+    /// Trust in a report of an age.
+    fn confidence_at(&self, age: f64) -> f64 {
+        let FleetConfig { fresh_for, expired_after, .. } = self.config;
+        ((expired_after - age) / (expired_after - fresh_for)).clamp(0.0, 1.0)
+    }
+
+    /// Trust in a server just before most were seen to be silent: one that was lost by itself earlier is not trusted again.
+    fn confidence_before(&self, silent_since: f64, known: &ServerRecord) -> f64 {
+        self.confidence_at(silent_since - self.config.fresh_for - known.created_at)
     }
 
     /// Number of servers that are remembered.
--- a/crates/control/src/plan/capacity.rs
+++ b/crates/control/src/plan/capacity.rs
@@ -81,7 +81,7 @@
         Some(ShareLimit::Draining)
     } else if !view.report.healthy {
         Some(ShareLimit::Unhealthy)
-    } else if view.confidence <= 0.0 {
+    } else if view.confidence <= 0.0 && !view.withdrawn_gradually {
         Some(ShareLimit::Silent)
     } else {
         None
--- a/crates/control/src/plan/planner.rs
+++ b/crates/control/src/plan/planner.rs
@@ -36,7 +36,8 @@
         }
         let (shares, mut zones) = self.shares_by_zone(now, elapsed, &candidates);
         let elapsed = elapsed.unwrap_or(0.0);
-        self.spillover.update(elapsed, &mut zones);
+        let gradually = views.iter().any(|view| view.withdrawn_gradually);
+        self.spillover.update(elapsed, gradually, &mut zones);
         self.forget_all_but(&shares);
         let panic = fleet.in_panic(now);
         let drops = if panic { self.shedder.rules() } else { self.shedder.update(elapsed, &views) };
--- a/crates/control/src/plan/spillover.rs
+++ b/crates/control/src/plan/spillover.rs
@@ -26,14 +26,22 @@
 }
 
 impl Spillover {
-    /// Decides where the load of each zone goes. In, `load` is what the zone's servers saw; out, what starts in the zone.
-    pub(super) fn update(&mut self, elapsed: f64, zones: &mut BTreeMap<String, ZonePlan>) {
+    /// Decides where the load of each zone goes. In, `load` is what the zone's servers saw; out, what starts in the zone. While most
+    /// servers are silent, load moves `gradually` even out of a zone that can carry nothing: the others could not take it at once.
+    pub(super) fn update(&mut self, elapsed: f64, gradually: bool, zones: &mut BTreeMap<String, ZonePlan>) {
         let source_loads = self.estimate_source_loads(elapsed, zones);
         let room = Room::of(zones, &source_loads);
         let names: Vec<String> = zones.keys().cloned().collect();
         for name in &names {
-            let spill = self.spill_fraction(elapsed, name, zones, &source_loads, &room);
-            let targets = room.targets(name, zones);
+            let mut spill = self.spill_fraction(elapsed, name, zones, &source_loads, &room);
+            if !gradually && zones[name].capacity <= 0.0 {
+                spill = 1.0;
+            }
+            let mut targets = room.targets(name, zones);
+            if gradually && targets.is_empty() {
+                // What went to zones that are out of reach comes home in steps too.
+                targets = self.last_targets(name, zones);
+            }
             let Some(zone) = zones.get_mut(name) else { continue };
             zone.spill = if targets.is_empty() { 0.0 } else { spill };
             zone.spill_targets = targets;
@@ -66,6 +74,23 @@
         self.last_zones.get(zone).map_or(0.0, |last| last.spill)
     }
 
+    /// What a zone's spill moves from. What starts in a zone that the last plan did not know went to the others, unless its servers
+    /// carry load already: it comes home in steps.
+    fn spill_before(&self, zone: &str, load: f64) -> f64 {
+        let returns_idle = !self.last_zones.is_empty() && !self.last_zones.contains_key(zone) && load <= 0.0;
+        if returns_idle {
+            1.0
+        } else {
+            self.last_spill(zone)
+        }
+    }
+
+    /// Where a zone's load went by the last plan, of the zones that are left.
+    fn last_targets(&self, zone: &str, zones: &BTreeMap<String, ZonePlan>) -> BTreeMap<String, f64> {
+        let Some(last) = self.last_zones.get(zone) else { return BTreeMap::new() };
+        proportions(last.spill_targets.iter().filter(|(target, _)| zones.contains_key(*target)))
+    }
+
     /// Load that came to a zone from others by the last plan.
     fn received_load(&self, zone: &str) -> f64 {
         let others = self.last_zones.iter().filter(|(other, _)| other.as_str() != zone);
@@ -85,18 +110,24 @@
         source_loads: &HashMap<String, f64>,
         room: &Room,
     ) -> f64 {
-        let (load, capacity) = (source_loads[name], zones[name].capacity);
-        if capacity <= 0.0 {
-            return 1.0;
-        }
-        let wanted = if load > 0.0 { (1.0 - SPILL_UTILIZATION * capacity / load).max(0.0) } else { 0.0 };
-        let wanted = wanted * room.fraction_taken();
-        let last = self.last_spill(name);
+        let last = self.spill_before(name, zones[name].load);
         let most = MAX_SPILL_STEP * elapsed;
+        let wanted = wanted_spill(source_loads[name], zones[name].capacity, room);
         wanted.clamp(last - most, last + most).clamp(0.0, 1.0)
     }
 }
 
+/// Fraction of a zone's load that is to go elsewhere in the end.
+fn wanted_spill(load: f64, capacity: f64, room: &Room) -> f64 {
+    if capacity <= 0.0 {
+        1.0
+    } else if load > 0.0 {
+        (1.0 - SPILL_UTILIZATION * capacity / load).max(0.0) * room.fraction_taken()
+    } else {
+        0.0
+    }
+}
+
 /// Capacity that zones have left for others.
 struct Room {
     /// Requests a second by zone.
--- a/crates/control/src/serve/event_loop.rs
+++ b/crates/control/src/serve/event_loop.rs
@@ -2,7 +2,7 @@
 
 use super::handle::Message;
 use super::{snapshot_file, unix_now};
-use crate::fleet::ReportOutcome;
+use crate::fleet::{ReportOutcome, Silence};
 use crate::report::LoadReport;
 use crate::service::{ControlService, StreamId};
 use crate::stream::{ProxyRequest, Update};
@@ -27,6 +27,8 @@
     streams: HashMap<StreamId, mpsc::Sender<Update>>,
     started_at: Instant,
     snapshots: Option<SnapshotWriter>,
+    /// What the silence of servers was last logged as.
+    logged_silence: Silence,
 }
 
 impl EventLoop {
@@ -41,6 +43,7 @@
             streams: HashMap::new(),
             started_at: Instant::now(),
             snapshots: snapshot.map(SnapshotWriter::new),
+            logged_silence: Silence::Few,
         }
     }
 
@@ -82,11 +85,32 @@
                 Err(_) => self.end_stream(event.stream),
             }
         }
+        self.log_silence(now);
         if let Some(snapshots) = &mut self.snapshots {
             snapshots.save_if_due(&self.service, now);
         }
     }
 
+    /// Logs when most servers fall silent, when that is confirmed, and when it is over.
+    fn log_silence(&mut self, now: f64) {
+        let fleet = self.service.fleet();
+        let silence = fleet.assessed_silence();
+        if silence.is_like(self.logged_silence) {
+            return;
+        }
+        let (heard, known) = (fleet.fresh_count(now), fleet.len());
+        match silence {
+            Silence::Few => tracing::info!("{heard} of {known} servers are heard: most are again"),
+            Silence::Suspected { .. } => {
+                tracing::warn!("{heard} of {known} servers are heard: reports are suspected, shares stay");
+            }
+            Silence::Confirmed { .. } => tracing::warn!(
+                "{heard} of {known} servers are heard, some without a gap: the others are out of reach and lose their shares"
+            ),
+        }
+        self.logged_silence = silence;
+    }
+
     async fn shut_down(self) {
         let now = self.now();
         if let Some(snapshots) = self.snapshots {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -295,6 +295,7 @@
     fn replan(&mut self, now: f64) {
         self.last_planned_at = now;
         self.fleet.forget_silent(now);
+        self.fleet.assess_silence(now);
         if !self.is_ready(now) {
             return;
         }
@@ -310,7 +311,8 @@
         self.put_in_force(plan);
     }
 
-    /// Reports that stay away for long are no passing fault: nothing is decided on them, and leases end.
+    /// Reports of most servers that stay away for long while no other is heard steadily are no passing fault: nothing is decided on
+    /// them, and leases end. Where others are heard, the silence is confirmed long before, and this never comes to pass.
     fn panic_lasts_too_long(&mut self, now: f64, panic: bool) -> bool {
         self.panic_since = panic.then(|| self.panic_since.unwrap_or(now));
         self.panic_since.is_some_and(|since| now - since > self.config.schedule.max_panic_time)
--- a/crates/control/src/shedding/tests.rs
+++ b/crates/control/src/shedding/tests.rs
@@ -34,7 +34,10 @@
         let (asked, room) = load(at as f64 * step);
         let sent = [asked[0] * (1.0 - acting[0]), asked[1] * (1.0 - acting[1])];
         let seen = server(room, &sent);
-        let drops = shedder.update(step, &[ServerView { report: &seen, confidence: 1.0, age: 0.0 }]);
+        let drops = shedder.update(
+            step,
+            &[ServerView { report: &seen, confidence: 1.0, age: 0.0, withdrawn_gradually: false }],
+        );
         let share = |product: &str| drops.iter().find(|d| d.product == product).map_or(0.0, |d| d.fraction);
         on_the_way.push_back([share("cheap"), share("dear")]);
         if on_the_way.len() > 4 {
@@ -72,7 +75,10 @@
     let mut shedder = LoadShedder::default();
     let seen = server(10.0, &[90.0, 0.0]);
     for _ in 0..40 {
-        shedder.update(0.25, &[ServerView { report: &seen, confidence: 1.0, age: 0.0 }]);
+        shedder.update(
+            0.25,
+            &[ServerView { report: &seen, confidence: 1.0, age: 0.0, withdrawn_gradually: false }],
+        );
     }
     let held = shedder.rules()[0].fraction;
     assert!(held > 0.5);
