Reports to control services are compact and bounded, whatever there is to report

Cause: each report, four a second and to each service, named each product of each customer asked for since the last one (37 objects of 85 bytes) and 330 bytes that never change; nothing bounded it but the service's megabyte.

What is rejected most is named first, the rest is told in sum. Serving process and emulator use one encoder. Why it holds: each line is bounded before it is sent, so the sum is, whatever the load. Earlier servers don't read the offer, earlier services make none: full reports then, byte for byte as before. A connection is all that either side remembers.

The encoder at the planned size, 1 to 8 services, 2% and 50% rejected: no second over 12,000.

--- /dev/null
+++ b/crates/control/src/report/decoder.rs
@@ -0,0 +1,195 @@
+//! Reads the reports of one connection: full ones, and compact ones that lean on a full one before them.
+
+use super::{ClassLoad, LoadReport, MAX_NAME_BYTES};
+use puffinladder_reports::compact::{
+    ClassFigures, CompactReport, NamedCustomer, NamedProduct, Rates, COMPACT_FORMAT, FULL_FORMAT,
+};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Highest number of a product or customer on one connection: several times what a fleet is planned to have.
+const MAX_NAME_NUMBER: u32 = 65_535;
+/// Most names that are remembered for all connections together; classes under further names are counted without one.
+const MAX_NAMES: usize = 1 << 20;
+
+/// Why a line of a connection can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum DecodeError {
+    /// It is no report.
+    #[error("a report can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// It is in a format that was not offered.
+    #[error("a report has the unknown format {0}")]
+    UnknownFormat(u32),
+    /// A compact report came before any full one.
+    #[error("a compact report came before a full one")]
+    NoFullReport,
+    /// A product or customer has a number that is out of range, or a name that is too long.
+    #[error("a name of a compact report is out of range")]
+    Name,
+}
+
+/// The names on all connections, each stored once.
+#[derive(Clone, Debug, Default)]
+pub struct NameTable(Arc<Mutex<Names>>);
+
+#[derive(Debug, Default)]
+struct Names {
+    ids: HashMap<Arc<str>, u32>,
+    names: Vec<Arc<str>>,
+}
+
+impl NameTable {
+    fn lock(&self) -> MutexGuard<'_, Names> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Names {
+    /// The id of a name, as long as there is room for it.
+    fn intern(&mut self, name: &str) -> Option<u32> {
+        if let Some(id) = self.ids.get(name) {
+            return Some(*id);
+        }
+        if self.names.len() >= MAX_NAMES {
+            return None;
+        }
+        let (id, name) = (self.names.len() as u32, Arc::<str>::from(name));
+        self.names.push(name.clone());
+        self.ids.insert(name, id);
+        Some(id)
+    }
+
+    fn get(&self, id: u32) -> &str {
+        &self.names[id as usize]
+    }
+}
+
+/// A product as a connection has named it.
+#[derive(Clone, Copy, Debug)]
+struct KnownProduct {
+    name: u32,
+    priority_weight: f64,
+}
+
+/// Reads the reports of one connection.
+#[derive(Debug)]
+pub struct ReportDecoder {
+    names: NameTable,
+    /// What the last full report said of the server, without its classes.
+    server: Option<LoadReport>,
+    /// By their numbers on the connection.
+    products: Vec<Option<KnownProduct>>,
+    customers: Vec<Option<u32>>,
+}
+
+/// Tells the format of a line.
+#[derive(Deserialize)]
+struct FormatProbe {
+    #[serde(default = "full_format")]
+    format: u32,
+}
+
+fn full_format() -> u32 {
+    FULL_FORMAT
+}
+
+impl ReportDecoder {
+    /// A decoder for a new connection.
+    pub fn new(names: NameTable) -> ReportDecoder {
+        ReportDecoder { names, server: None, products: Vec::new(), customers: Vec::new() }
+    }
+
+    /// The report of a line.
+    pub fn decode(&mut self, line: &str) -> Result<LoadReport, DecodeError> {
+        let FormatProbe { format } = serde_json::from_str(line)?;
+        match format {
+            FULL_FORMAT => self.decode_full(line),
+            COMPACT_FORMAT => self.decode_compact(serde_json::from_str(line)?),
+            other => Err(DecodeError::UnknownFormat(other)),
+        }
+    }
+
+    fn decode_full(&mut self, line: &str) -> Result<LoadReport, DecodeError> {
+        let report: LoadReport = serde_json::from_str(line)?;
+        self.server = Some(LoadReport { classes: Vec::new(), ..report.clone() });
+        Ok(report)
+    }
+
+    fn decode_compact(&mut self, compact: CompactReport) -> Result<LoadReport, DecodeError> {
+        let server = self.server.clone().ok_or(DecodeError::NoFullReport)?;
+        self.learn(&compact.products, &compact.customers)?;
+        Ok(LoadReport {
+            sequence: compact.sequence,
+            created_at: compact.created_at,
+            concurrency_limit: compact.concurrency_limit,
+            in_flight: compact.in_flight,
+            service_time: compact.service_time,
+            pressure: compact.pressure,
+            retry_after: compact.retry_after,
+            healthy: compact.healthy,
+            terminates_in: compact.terminates_in,
+            warm_up_progress: compact.warm_up_progress,
+            goodput: compact.goodput,
+            classes: self.classes(&compact.load, compact.rest),
+            ..server
+        })
+    }
+
+    fn learn(&mut self, products: &[NamedProduct], customers: &[NamedCustomer]) -> Result<(), DecodeError> {
+        let mut names = self.names.lock();
+        for NamedProduct(number, name, priority_weight) in products {
+            let known = known_name(&mut names, *number, name)?;
+            let known = known.map(|name| KnownProduct { name, priority_weight: *priority_weight });
+            put(&mut self.products, *number, known);
+        }
+        for NamedCustomer(number, name) in customers {
+            let known = known_name(&mut names, *number, name)?;
+            put(&mut self.customers, *number, known);
+        }
+        Ok(())
+    }
+
+    /// Load by product and customer. What has no name, or had no room, is one class without names, so that the sums are whole.
+    fn classes(&self, load: &[ClassFigures], mut unnamed: Rates) -> Vec<ClassLoad> {
+        let names = self.names.lock();
+        let mut classes = Vec::with_capacity(load.len() + 1);
+        for figures in load {
+            let product = self.products.get(figures.product as usize).copied().flatten();
+            let customer = self.customers.get(figures.customer as usize).copied().flatten();
+            match (product, customer) {
+                (Some(product), Some(customer)) => classes.push(ClassLoad {
+                    product: names.get(product.name).to_owned(),
+                    customer: names.get(customer).to_owned(),
+                    priority_weight: product.priority_weight,
+                    offered: figures.rates.offered,
+                    rejected: figures.rates.rejected,
+                }),
+                _ => {
+                    unnamed.offered += figures.rates.offered;
+                    unnamed.rejected += figures.rates.rejected;
+                }
+            }
+        }
+        if unnamed != Rates::default() {
+            classes.push(ClassLoad::unnamed(unnamed.offered, unnamed.rejected));
+        }
+        classes
+    }
+}
+
+fn known_name(names: &mut Names, number: u32, name: &str) -> Result<Option<u32>, DecodeError> {
+    if number > MAX_NAME_NUMBER || name.len() > MAX_NAME_BYTES {
+        return Err(DecodeError::Name);
+    }
+    Ok(names.intern(name))
+}
+
+fn put<T: Clone>(list: &mut Vec<Option<T>>, number: u32, value: Option<T>) {
+    let index = number as usize;
+    if list.len() <= index {
+        list.resize(index + 1, None);
+    }
+    list[index] = value;
+}
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report/mod.rs
@@ -1,7 +1,10 @@
 //! The load report that each server sends: what it was asked, what it rejected, and how much it can carry.
 //!
 //! Reports arrive as JSON, one object a line. The names on the wire predate the names of the fields here and stay as they are, so
-//! that servers and control services of different versions understand each other.
+//! that servers and control services of different versions understand each other. A server that reads the service's offer sends
+//! compact reports instead, which the [`decoder`] completes.
+
+pub mod decoder;
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -111,6 +114,16 @@
 }
 
 impl ClassLoad {
+    /// Load of classes that a server did not name.
+    fn unnamed(offered: f64, rejected: f64) -> ClassLoad {
+        ClassLoad { product: String::new(), customer: String::new(), priority_weight: 0.0, offered, rejected }
+    }
+
+    /// Whether it is load of classes that the server did not name: it counts in sums, and nobody can drop it.
+    pub(crate) fn is_unnamed(&self) -> bool {
+        self.product.is_empty() && self.customer.is_empty()
+    }
+
     fn is_valid(&self) -> bool {
         self.product.len() <= MAX_NAME_BYTES
             && self.customer.len() <= MAX_NAME_BYTES
--- a/crates/control/src/shedding.rs
+++ b/crates/control/src/shedding.rs
@@ -120,7 +120,7 @@
         for view in views.iter().filter(|view| view.confidence > 0.0) {
             pressure += view.report.pressure * view.report.cores;
             cores += view.report.cores;
-            for class in &view.report.classes {
+            for class in view.report.classes.iter().filter(|class| !class.is_unnamed()) {
                 let key = ClassKey { product: class.product.as_str(), customer: class.customer.as_str() };
                 let totals = classes.entry(key).or_default();
                 totals.offered += class.offered;
--- a/crates/gauging/src/server/peers.rs
+++ b/crates/gauging/src/server/peers.rs
@@ -1,8 +1,9 @@
 //! Whom a server speaks with, each with the moments that the added latency is reckoned from.
 
 use base64::prelude::{Engine as _, BASE64_STANDARD};
+use puffinladder_reports::compact::FormatOffer;
 use puffinladder_toy::gateway::{message, now};
-use puffinladder_transport::{connect, LineReader};
+use puffinladder_transport::{connect, write_line, LineReader};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
@@ -25,6 +26,8 @@
 const REPORT: usize = 64 << 20;
 /// Longest element of an answer.
 const ELEMENT: usize = 64 << 10;
+/// s in which the offered formats have to leave.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(1);
 /// s of an answer to a health check.
 const CHECK: Duration = Duration::from_secs(2);
 
@@ -127,7 +130,7 @@
     }
 }
 
-/// The control service: reads reports and counts them.
+/// The control service: reads reports, offers the formats that a real one offers, and counts.
 pub struct Sink {
     pub at: SocketAddr,
     counts: Arc<(AtomicU64, AtomicU64)>,
@@ -145,13 +148,18 @@
             while let Ok((link, _)) = listener.accept().await {
                 let heard = heard.clone();
                 links.spawn(async move {
-                    let mut lines = LineReader::new(link, REPORT);
-                    let mut read = 0;
+                    let (reader, mut writer) = link.into_split();
+                    let mut lines = LineReader::new(reader, REPORT);
+                    let (mut read, mut offered) = (0, false);
                     // What is no JSON ends it: then reports stay out, and the point fails.
                     while let Ok(Some(_)) = lines.read::<serde::de::IgnoredAny>().await {
                         heard.0.fetch_add(lines.bytes_read() - read, Ordering::Relaxed);
                         heard.1.fetch_add(1, Ordering::Relaxed);
                         read = lines.bytes_read();
+                        if !offered {
+                            let offer = FormatOffer::supported();
+                            offered = write_line(&mut writer, &offer, OFFER_TIMEOUT).await.is_ok();
+                        }
                     }
                 });
             }
--- a/crates/reports/src/lib.rs
+++ b/crates/reports/src/lib.rs
@@ -1,9 +1,17 @@
 //! The load report by which a server tells a control service what it decided of late, written from plain values: no I/O, no clock.
 //! The serving process and the emulated servers write it by this one function, so that what is measured with the one holds of the
 //! other. `puffinladder_control::report` reads it.
+//!
+//! A full report names each product of each customer that was asked for. To a control service that offers to read it, a server
+//! sends the compact format instead ([`compact`]), bounded in bytes ([`ReportEncoder`]).
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod compact;
+mod encoder;
+
+pub use encoder::{max_report_bytes, ReportEncoder};
+
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,6 +88,23 @@
     pub classes: Vec<ClassLoad>,
 }
 
+impl LoadSample {
+    /// The concurrency limit as it is reported: 1 at the least.
+    fn reported_limit(&self) -> f64 {
+        self.concurrency_limit.max(1.0)
+    }
+
+    /// Classes ordered by how much depends on them: first what was rejected most, then what was offered most.
+    fn most_important_classes(&self) -> Vec<&ClassLoad> {
+        let mut classes: Vec<&ClassLoad> = self.classes.iter().collect();
+        classes.sort_by(|a, b| {
+            let by_load = b.rejected.total_cmp(&a.rejected).then(b.offered.total_cmp(&a.offered));
+            by_load.then((a.product, a.customer).cmp(&(b.product, b.customer)))
+        });
+        classes
+    }
+}
+
 impl ServerIdentity {
     /// The report as it goes over the wire, with the end of its line. `created_at` is in seconds since the server started, by its
     /// monotonic clock.
@@ -93,7 +118,7 @@
             "zone": self.zone,
             "address": self.address,
             "cores": self.cores,
-            "limit": sample.concurrency_limit.max(1.0),
+            "limit": sample.reported_limit(),
             "running": sample.in_flight,
             "takes": sample.service_time,
             "pressure": sample.pressure,
--- /dev/null
+++ b/crates/reports/tests/compact.rs
@@ -0,0 +1,220 @@
+//! What a server sends on a connection whose service offers compact reports, and on one whose service does not.
+//!
+//! Symptom: a server asked 150 times a second spent 13.8 KB a second on one control service, of the 12 KB that it has for all of
+//! its control (`a_server_spends_no_more_on_control_than_the_plan_gives_it`). Cause: each report named each product of each customer
+//! that was asked for, 37 of them at 85 bytes, four times a second and to each service; 330 bytes more never changed while the
+//! process lived.
+
+use puffinladder_reports::compact::{CompactReport, FormatOffer, Rates};
+use puffinladder_reports::{max_report_bytes, ClassLoad, LoadSample, Product, ReportEncoder, ServerIdentity};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+/// What operators give a server for all of its control, bytes a second.
+const CONTROL_BUDGET: usize = 12_000;
+/// The planned size.
+const PRODUCTS: usize = 2_300;
+const CUSTOMERS: usize = 15_000;
+const REQUESTS_PER_SECOND: f64 = 151.0;
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Figures are told in four digits.
+const FIGURE_ERROR: f64 = 1e-3;
+
+fn identity(products: usize, customers: usize) -> ServerIdentity {
+    let product = |at| Product { name: format!("logistics-availability-v{at}"), priority_weight: 2.5 };
+    ServerIdentity {
+        instance: "n00001".into(),
+        incarnation: 1_764_600_000_000_000,
+        zone: "zone-1".into(),
+        address: "10.0.0.1:4100".parse().unwrap(),
+        cores: 4.0,
+        warm_up_span: None,
+        initial_capacity: 1.0,
+        products: (0..products).map(product).collect(),
+        customers: (0..customers).map(|at| format!("northern-logistics-{at:05}")).collect(),
+    }
+}
+
+/// Load as the emulator draws it: products evenly, customers few for most.
+fn sample(random: &mut ChaCha8Rng, requests: usize, rejected: f64) -> LoadSample {
+    let rate = 1.0 / INTERVAL.as_secs_f64();
+    let mut classes: BTreeMap<(usize, usize), (f64, f64)> = BTreeMap::new();
+    for _ in 0..requests {
+        let customer = random.random::<f64>() * random.random::<f64>() * CUSTOMERS as f64;
+        let rates = classes.entry((random.random_range(0..PRODUCTS), customer as usize)).or_default();
+        rates.0 += rate;
+        rates.1 += if random.random_bool(rejected) { rate } else { 0.0 };
+    }
+    let class =
+        |((product, customer), (offered, rejected))| ClassLoad { product, customer, offered, rejected };
+    LoadSample {
+        concurrency_limit: random.random_range(2.0..16.0),
+        in_flight: random.random_range(0..16),
+        service_time: random.random_range(0.008..0.018),
+        pressure: random.random_range(0.0..0.3),
+        retry_after: random.random_range(0.25..0.75),
+        healthy: true,
+        terminates_in: None,
+        goodput: random.random_range(100.0..200.0),
+        classes: classes.into_iter().map(class).collect(),
+    }
+}
+
+fn offer() -> Vec<u8> {
+    format!("{}\n", serde_json::to_string(&FormatOffer::supported()).unwrap()).into_bytes()
+}
+
+fn compact_encoder(identity: &ServerIdentity) -> ReportEncoder {
+    let mut encoder = ReportEncoder::new(identity);
+    encoder.receive(&offer());
+    encoder
+}
+
+fn sums(sample: &LoadSample) -> Rates {
+    let offered = sample.classes.iter().map(|class| class.offered).sum();
+    Rates { offered, rejected: sample.classes.iter().map(|class| class.rejected).sum() }
+}
+
+fn told_sums(report: &CompactReport) -> Rates {
+    let named = report.load.iter().map(|class| class.rates);
+    named.fold(report.rest, |sum, rates| Rates {
+        offered: sum.offered + rates.offered,
+        rejected: sum.rejected + rates.rejected,
+    })
+}
+
+#[test]
+fn at_the_planned_size_all_reports_stay_within_what_a_server_has_for_control() {
+    let identity = identity(PRODUCTS, CUSTOMERS);
+    for services in [1, 2, 4, 8] {
+        for rejected in [0.02, 0.5] {
+            let mut random = ChaCha8Rng::seed_from_u64(1);
+            let mut encoder = compact_encoder(&identity);
+            let max_bytes = max_report_bytes(services, INTERVAL);
+            // The full report that begins the connection.
+            encoder.line(&identity, &sample(&mut random, 0, 0.0), 0, 0.0, max_bytes);
+            for second in 1..=60u32 {
+                let mut bytes = 0;
+                for part in 0..4u32 {
+                    let requests = (REQUESTS_PER_SECOND * INTERVAL.as_secs_f64()) as usize;
+                    let (sequence, now) = (u64::from(4 * second + part), f64::from(second));
+                    let sample = sample(&mut random, requests, rejected);
+                    bytes += services * encoder.line(&identity, &sample, sequence, now, max_bytes).len();
+                }
+                assert!(bytes <= CONTROL_BUDGET, "{bytes} in second {second} to {services}, seed 1");
+            }
+        }
+    }
+}
+
+#[test]
+fn sums_are_whole_and_what_is_rejected_most_is_named_first_however_little_room_there_is() {
+    let identity = identity(PRODUCTS, CUSTOMERS);
+    let mut random = ChaCha8Rng::seed_from_u64(2);
+    for max_bytes in [0, 200, 400, 600, 2_500, 1 << 20] {
+        let mut encoder = compact_encoder(&identity);
+        encoder.line(&identity, &sample(&mut random, 0, 0.0), 0, 0.0, max_bytes);
+        let (mut products, mut customers) = (HashSet::new(), HashSet::new());
+        for sequence in 1..200 {
+            let sample = sample(&mut random, 60, 0.2);
+            let line = encoder.line(&identity, &sample, sequence, 1.0, max_bytes);
+            let report: CompactReport = serde_json::from_str(&line).unwrap();
+            assert!(line.len() <= max_bytes.max(300), "{} of {max_bytes}: {line}", line.len());
+            let (was, told) = (sums(&sample), told_sums(&report));
+            assert!((was.offered - told.offered).abs() <= FIGURE_ERROR * was.offered, "{was:?} {told:?}");
+            assert!((was.rejected - told.rejected).abs() <= FIGURE_ERROR * was.rejected, "{was:?} {told:?}");
+            // Each number has a name by then, and each name is told once.
+            assert!(report.products.iter().all(|named| products.insert(named.0)), "{line}");
+            assert!(report.customers.iter().all(|named| customers.insert(named.0)), "{line}");
+            assert!(report
+                .load
+                .iter()
+                .all(|class| products.contains(&class.product) && customers.contains(&class.customer)));
+            if max_bytes == 1 << 20 {
+                assert_eq!((report.load.len(), report.rest), (sample.classes.len(), Rates::default()));
+            }
+            let first = sample.classes.iter().map(|class| class.rejected).fold(0.0, f64::max);
+            let named_first = report.load.first().map(|class| class.rates.rejected);
+            assert!(max_bytes < 400 || named_first == Some(first), "{line}");
+        }
+    }
+}
+
+#[test]
+fn a_service_that_offers_nothing_or_nothing_known_gets_full_reports_for_ever() {
+    let identity = identity(3, 3);
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let endless = [b'x'; 5_000];
+    let not_offers: [&[u8]; 7] = [
+        b"",
+        b"{\"report_formats\":[1,2]}",
+        b"{\"report_formats\":[1]}\n{\"report_formats\":[1,2]}\n",
+        b"{\"report_formats\":[3]}\n",
+        b"nonsense\n",
+        b"\xff\xfe\n",
+        &endless,
+    ];
+    for said in not_offers {
+        let mut encoder = ReportEncoder::new(&identity);
+        encoder.receive(said);
+        for sequence in 1..5 {
+            let mut sample = sample(&mut random, 0, 0.0);
+            sample.classes = vec![ClassLoad { product: 2, customer: 1, offered: 4.0, rejected: 0.0 }];
+            let wanted = identity.report_line(&sample, sequence, 0.25);
+            assert_eq!(encoder.line(&identity, &sample, sequence, 0.25, 100), wanted);
+        }
+        // Bytes beyond an offer are not kept, whatever comes.
+        encoder.receive(&endless);
+    }
+}
+
+#[test]
+fn an_offer_in_pieces_counts_once_it_is_whole_and_the_first_report_is_full_all_the_same() {
+    let identity = identity(3, 3);
+    let mut random = ChaCha8Rng::seed_from_u64(4);
+    let sample = sample(&mut random, 0, 0.0);
+    let mut encoder = ReportEncoder::new(&identity);
+    for byte in offer() {
+        assert!(encoder.awaits_offer());
+        encoder.receive(&[byte]);
+    }
+    assert!(!encoder.awaits_offer());
+    assert_eq!(encoder.line(&identity, &sample, 1, 0.25, 2_500), identity.report_line(&sample, 1, 0.25));
+    assert!(encoder.line(&identity, &sample, 2, 0.5, 2_500).starts_with(r#"{"format":2,"#));
+}
+
+#[test]
+fn a_compact_report_is_these_bytes() {
+    // Control services of other versions read them, so that they may only change on purpose.
+    let identity = identity(3, 3);
+    let class = |product, customer, offered, rejected| ClassLoad { product, customer, offered, rejected };
+    let state = LoadSample {
+        concurrency_limit: 4.123_456,
+        in_flight: 3,
+        service_time: 0.012_345_678,
+        pressure: 0.75,
+        retry_after: 1.0,
+        healthy: true,
+        terminates_in: None,
+        goodput: 38.0,
+        classes: vec![class(0, 1, 80.0, 0.0), class(2, 1, 4.0, 4.0), class(9, 9, 1.5, 0.0)],
+    };
+    let mut encoder = compact_encoder(&identity);
+    encoder.line(&identity, &state, 1, 0.25, 2_500);
+    let wanted = concat!(
+        r#"{"format":2,"sequence":2,"made":0.5,"limit":4.123,"running":3,"takes":0.01235,"pressure":0.75,"retry_after":1,"#,
+        r#""settled":38,"products":[[2,"logistics-availability-v2",2.5],[0,"logistics-availability-v0",2.5]],"#,
+        r#""customers":[[1,"northern-logistics-00001"]],"load":[[2,1,4,4],[0,1,80]],"rest":{"asked":1.5,"declined":0}}"#,
+        "\n"
+    );
+    assert_eq!(encoder.line(&identity, &state, 2, 0.500_04, 2_500), wanted);
+    let leaves = LoadSample { healthy: false, terminates_in: Some(1.25), classes: Vec::new(), ..state };
+    let wanted = concat!(
+        r#"{"format":2,"sequence":3,"made":0.75,"limit":4.123,"running":3,"takes":0.01235,"pressure":0.75,"retry_after":1,"#,
+        r#""healthy":false,"leaving":1.25,"settled":38}"#,
+        "\n"
+    );
+    assert_eq!(encoder.line(&identity, &leaves, 3, 0.75, 2_500), wanted);
+}
--- a/crates/server/src/lifecycle/publish.rs
+++ b/crates/server/src/lifecycle/publish.rs
@@ -1,5 +1,6 @@
 //! Reports to control services what this server decided of late, if the settings ask for it: a line of JSON a few times a
-//! second, over TCP, from a thread of its own. Nobody waits for it, and nothing comes back.
+//! second, over TCP, from a thread of its own. Nobody waits for it, and nothing comes back but a line that says which formats of
+//! reports the service reads.
 
 use super::error::StartError;
 use crate::dispatcher::Dispatcher;
@@ -7,15 +8,33 @@
 use crate::runtime::clock::Clock;
 use crate::state::counters::{ClassRates, Counters};
 use puffinladder::RequestClass;
-use puffinladder_reports::{ClassLoad, LoadSample, Product, ServerIdentity, IO_TIMEOUT};
+use puffinladder_reports::{
+    max_report_bytes, ClassLoad, LoadSample, Product, ReportEncoder, ServerIdentity, IO_TIMEOUT,
+};
 use puffinladder_settings::PublishSettings;
 use puffinladder_settings::ServerConfig;
-use std::io::Write;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Bytes that are read at once of what a service says: its line is shorter.
+const OFFER_CHUNK: usize = 256;
+
+/// A connection to a control service.
+struct ReportConnection {
+    stream: TcpStream,
+    encoder: ReportEncoder,
+}
+
+/// One report, before it is written in the format that a service reads.
+struct Report<'a> {
+    sample: &'a LoadSample,
+    sequence: u64,
+    created_at: f64,
+}
+
 /// Sends the reports.
 struct Publisher {
     identity: ServerIdentity,
@@ -72,13 +91,13 @@
 impl Publisher {
     fn run(&self) {
         let started = Instant::now();
-        let mut streams: Vec<Option<TcpStream>> = self.control.iter().map(|_| None).collect();
+        let mut connections: Vec<Option<ReportConnection>> = self.control.iter().map(|_| None).collect();
         let mut was_reached = true;
         for sequence in 1u64.. {
             thread::sleep(self.interval);
             let created_at = started.elapsed().as_secs_f64();
-            let line = self.identity.report_line(&self.state(), sequence, created_at);
-            let reached = self.send(&line, &mut streams);
+            let report = Report { sample: &self.state(), sequence, created_at };
+            let reached = self.send(&report, &mut connections);
             if reached != was_reached {
                 was_reached = reached;
                 let change =
@@ -88,21 +107,34 @@
         }
     }
 
-    /// Sends a line to each service: they agree on nothing among themselves. Returns whether any took it.
-    fn send(&self, line: &str, streams: &mut [Option<TcpStream>]) -> bool {
+    /// Sends a report to each service: they agree on nothing among themselves. Returns whether any took it.
+    fn send(&self, report: &Report, connections: &mut [Option<ReportConnection>]) -> bool {
         let mut reached = false;
-        for (address, stream) in self.control.iter().zip(streams) {
-            if stream.is_none() {
-                *stream = connect(address);
+        for (address, connection) in self.control.iter().zip(connections) {
+            if connection.is_none() {
+                *connection = self.connect(address);
             }
+            let sent = connection.as_mut().is_some_and(|open| self.send_on(open, report).is_ok());
             // A line that left in part can't be taken back: that connection is over.
-            let sent = stream.as_mut().is_some_and(|open| open.write_all(line.as_bytes()).is_ok());
-            *stream = stream.take().filter(|_| sent);
+            *connection = connection.take().filter(|_| sent);
             reached |= sent;
         }
         reached
     }
 
+    fn send_on(&self, connection: &mut ReportConnection, report: &Report) -> io::Result<()> {
+        connection.read_offer()?;
+        let max_bytes = max_report_bytes(self.control.len(), self.interval);
+        let Report { sample, sequence, created_at } = report;
+        let line = connection.encoder.line(&self.identity, sample, *sequence, *created_at, max_bytes);
+        connection.stream.write_all(line.as_bytes())
+    }
+
+    fn connect(&self, address: &SocketAddr) -> Option<ReportConnection> {
+        let stream = connect(address)?;
+        Some(ReportConnection { stream, encoder: ReportEncoder::new(&self.identity) })
+    }
+
     fn state(&self) -> LoadSample {
         let snapshot = self.counters.take(self.interval.as_secs_f64());
         let class = |rates: &ClassRates| ClassLoad {
@@ -125,6 +157,27 @@
     }
 }
 
+impl ReportConnection {
+    /// Takes what the service has said by now; does not wait for it.
+    fn read_offer(&mut self) -> io::Result<()> {
+        if !self.encoder.awaits_offer() {
+            return Ok(());
+        }
+        let mut chunk = [0; OFFER_CHUNK];
+        self.stream.set_nonblocking(true)?;
+        let read = self.stream.read(&mut chunk);
+        self.stream.set_nonblocking(false)?;
+        match read {
+            Ok(count) => {
+                self.encoder.receive(&chunk[..count]);
+                Ok(())
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
 fn connect(address: &SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect_timeout(address, IO_TIMEOUT).ok()?;
     let ready = stream.set_write_timeout(Some(IO_TIMEOUT)).is_ok() && stream.set_nodelay(true).is_ok();
--- a/crates/server/tests/publish.rs
+++ b/crates/server/tests/publish.rs
@@ -1,9 +1,11 @@
 //! Stories of a server that tells a control service what it decided.
 
+use puffinladder_control::report::decoder::{NameTable, ReportDecoder};
 use puffinladder_control::report::LoadReport;
+use puffinladder_reports::compact::FormatOffer;
 use puffinladder_toy::gateway::now;
 use puffinladder_toy::town::Town;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -74,6 +76,35 @@
     assert!(report.terminates_in.unwrap() <= 1.5 && !report.healthy);
 }
 
+#[test]
+fn a_control_service_that_offers_it_hears_compact_reports_that_say_the_same() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = TcpListener::bind("127.0.0.1:0").unwrap();
+    let town = town(folder.path(), &control.local_addr().unwrap().to_string());
+    let mut stream = control.accept().unwrap().0;
+    let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+    let mut decoder = ReportDecoder::new(NameTable::default());
+    let first = decoder.decode(&lines.next().unwrap().unwrap()).unwrap();
+    let offer = serde_json::to_string(&FormatOffer::supported()).unwrap();
+    stream.write_all(format!("{offer}\n").as_bytes()).unwrap();
+    let mut gateway = town.gateway();
+    let end = Instant::now() + Duration::from_secs(20);
+    loop {
+        gateway.call("quote", "", b"quick");
+        assert_eq!(gateway.answer().unwrap().word, "200");
+        let line = lines.next().unwrap().unwrap();
+        let report = decoder.decode(&line).unwrap();
+        assert_eq!((&report.instance, report.incarnation), (&first.instance, first.incarnation));
+        if line.starts_with(r#"{"format":2,"#) && !report.classes.is_empty() {
+            let class = &report.classes[0];
+            assert_eq!((class.product.as_str(), class.customer.as_str()), ("quote", "acme"));
+            assert!(class.offered > 0.0 && report.sequence > first.sequence);
+            return;
+        }
+        assert!(Instant::now() < end, "waited in vain for a compact report: {line}");
+    }
+}
+
 #[test]
 fn without_a_control_service_a_server_serves_and_finds_it_when_it_comes() {
     let folder = tempfile::tempdir().unwrap();
