A full report is never larger than what a control service reads

Symptom: a server that was asked for more than 4,096 products of customers between two reports was silent for control services and lost its share: each report was refused whole ("a class is out of range"), and one of over a megabyte had its connection closed.

Cause: a full report named every class, however many there were; a service takes 4,096 classes and a line of 1 MiB.

Change: it names what was rejected most, then what was offered most, within 4,000 classes and a megabyte of them, and the rest as one class without names, so that the sum of what was offered is whole. Why it holds: both bounds are kept before the line is written.

--- a/crates/reports/src/encoder.rs
+++ b/crates/reports/src/encoder.rs
@@ -101,7 +101,8 @@
         mut left: usize,
         report: &mut CompactReport,
     ) {
-        for class in sample.most_important_classes() {
+        for place in sample.by_importance() {
+            let class = &sample.classes[place];
             let named = self.named(identity, class);
             match named.filter(|named| named.bytes <= left) {
                 Some(named) => {
--- a/crates/reports/src/lib.rs
+++ b/crates/reports/src/lib.rs
@@ -20,6 +20,11 @@
 /// How long a connection to a control service may take to open, and a line to leave: a server never waits longer for one.
 pub const IO_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Classes that a full report names at the most, and the bytes that they take: a control service refuses a report of more than
+/// 4,096 classes, or of more than a megabyte, whole, and the server would seem silent.
+const MAX_FULL_CLASSES: usize = 4_000;
+const MAX_FULL_CLASS_BYTES: usize = 1_000_000;
+
 /// A product that a server serves.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Product {
@@ -94,14 +99,15 @@
         self.concurrency_limit.max(1.0)
     }
 
-    /// Classes ordered by how much depends on them: first what was rejected most, then what was offered most.
-    fn most_important_classes(&self) -> Vec<&ClassLoad> {
-        let mut classes: Vec<&ClassLoad> = self.classes.iter().collect();
-        classes.sort_by(|a, b| {
+    /// Places of the classes, ordered by how much depends on them: first what was rejected most, then what was offered most.
+    fn by_importance(&self) -> Vec<usize> {
+        let mut places: Vec<usize> = (0..self.classes.len()).collect();
+        places.sort_by(|a, b| {
+            let (a, b) = (&self.classes[*a], &self.classes[*b]);
             let by_load = b.rejected.total_cmp(&a.rejected).then(b.offered.total_cmp(&a.offered));
             by_load.then((a.product, a.customer).cmp(&(b.product, b.customer)))
         });
-        classes
+        places
     }
 }
 
@@ -109,7 +115,7 @@
     /// The report as it goes over the wire, with the end of its line. `created_at` is in seconds since the server started, by its
     /// monotonic clock.
     pub fn report_line(&self, sample: &LoadSample, sequence: u64, created_at: f64) -> String {
-        let classes: Vec<Value> = sample.classes.iter().map(|class| self.class_json(class)).collect();
+        let classes = self.classes_json(sample);
         let report = json!({
             "instance": self.instance,
             "incarnation": self.incarnation,
@@ -138,6 +144,31 @@
         (self.initial_capacity + (1.0 - self.initial_capacity) * since_start / span).min(1.0)
     }
 
+    /// The classes of a full report in their order, as far as a service takes them; what is left out is one class without names,
+    /// so that the sum of what was offered is whole. No proxy can drop it, so that nothing of it counts as rejected.
+    fn classes_json(&self, sample: &LoadSample) -> Vec<Value> {
+        let mut named = Vec::with_capacity(sample.classes.len().min(MAX_FULL_CLASSES));
+        let (mut bytes, mut offered_unnamed) = (0, 0.0);
+        for place in sample.by_importance() {
+            let class = &sample.classes[place];
+            let class_json = self.class_json(class);
+            bytes += class_json.to_string().len() + 1;
+            if named.len() < MAX_FULL_CLASSES && bytes <= MAX_FULL_CLASS_BYTES {
+                named.push((place, class_json));
+            } else {
+                offered_unnamed += class.offered;
+            }
+        }
+        named.sort_by_key(|(place, _)| *place);
+        let mut classes: Vec<Value> = named.into_iter().map(|(_, class)| class).collect();
+        if offered_unnamed > 0.0 {
+            classes.push(json!({
+                "product": "", "customer": "", "worth": 0.0, "asked": offered_unnamed, "declined": 0.0,
+            }));
+        }
+        classes
+    }
+
     /// A class whose index is out of range has no name.
     fn class_json(&self, class: &ClassLoad) -> Value {
         let product = self.products.get(class.product);
--- a/crates/reports/tests/line.rs
+++ b/crates/reports/tests/line.rs
@@ -59,3 +59,42 @@
         .report_line(&odd, 1, 0.0)
         .contains(r#""customer":"","declined":0.0,"product":"","worth":0.0"#));
 }
+
+/// What a control service reads of one report, in every version: classes, and bytes of a line.
+const MOST_CLASSES_READ: usize = 4096;
+const MOST_BYTES_READ: usize = 1 << 20;
+
+/// Symptom: a server that was asked for more than 4,096 products of customers between two reports (a long interval, many customers)
+/// was silent for control services: each report was refused whole (`a class is out of range`), or its connection was closed for a
+/// line of over a megabyte, and so the server lost its share. Cause: a full report named every class, however many there were, and
+/// `puffinladder_control::report` takes 4,096 of them.
+#[test]
+fn a_full_report_is_never_larger_than_what_a_service_reads() {
+    let many = 150;
+    // Names as long as a service takes, of characters that JSON writes in six.
+    let long = |at: usize| format!("{at:04}{}", "\u{1}".repeat(124));
+    for (name, what) in [(long as fn(usize) -> String, "long"), (|at| format!("k{at}"), "short")] {
+        let identity = ServerIdentity {
+            products: (0..many).map(|at| Product { name: name(at), priority_weight: 1.0 }).collect(),
+            customers: (0..many).map(name).collect(),
+            ..who()
+        };
+        let class = |at: usize| ClassLoad {
+            product: at / many,
+            customer: at % many,
+            offered: 4.0,
+            rejected: if at == many * many - 1 { 4.0 } else { 0.0 },
+        };
+        let sample = LoadSample { classes: (0..many * many).map(class).collect(), ..state() };
+        let line = identity.report_line(&sample, 1, 0.25);
+        assert!(line.len() <= MOST_BYTES_READ, "{what}: {} bytes", line.len());
+        let report: serde_json::Value = serde_json::from_str(&line).unwrap();
+        let classes = report["classes"].as_array().unwrap();
+        assert!(classes.len() <= MOST_CLASSES_READ, "{what}: {} classes", classes.len());
+        let asked: f64 = classes.iter().map(|class| class["asked"].as_f64().unwrap()).sum();
+        assert_eq!(asked, 4.0 * (many * many) as f64, "sums are whole");
+        let named_last =
+            |class: &serde_json::Value| class["customer"] == name(many - 1) && class["declined"] == 4.0;
+        assert!(classes.iter().any(named_last), "what was rejected is named");
+    }
+}
