A test for runs whose outcome the agent has dropped, which fails

Symptom (admitted in docs/status.md, held by no test): after more notices than the agent retains were missed, a request whose run ended meanwhile stays in hand for good. The stand-in agent can drop notices, as the real one does beyond 4,000. A second test, green, holds that a run which is heard of after the gap is waited for.

--- a/crates/server/tests/publish.rs
+++ b/crates/server/tests/publish.rs
@@ -5,6 +5,7 @@
 use puffinladder_reports::compact::FormatOffer;
 use puffinladder_toy::gateway::now;
 use puffinladder_toy::town::Town;
+use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -12,10 +13,14 @@
 const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
 
 fn town(folder: &std::path::Path, control: &str) -> Town {
+    changed_town(folder, control, |_| {})
+}
+
+fn changed_town(folder: &std::path::Path, control: &str, change: impl FnOnce(&mut Value)) -> Town {
     let file = folder.join("s.scm");
     let text = format!("(publish (control \"{control}\") (zone \"east\") (every 50ms))");
     std::fs::write(&file, text).unwrap();
-    Town::open(&["env", &format!("PUFFINLADDER_SETTINGS={}", file.display()), SERVER], |_| {})
+    Town::open(&["env", &format!("PUFFINLADDER_SETTINGS={}", file.display()), SERVER], change)
 }
 
 struct Heard(BufReader<TcpStream>);
@@ -105,6 +110,65 @@
     }
 }
 
+/// Symptom: after the agent's link was away for so long that the agent no longer had all notices (it retains 4,000), a server reported
+/// runs that had ended long ago, for as long as it lived, and gave their places and memory to nobody else. Cause: a request stays in
+/// hand until the outcome of its run is read, and an outcome that the agent has dropped never is. The log said `notices 1 to 4 are
+/// missing` and nothing more of these requests; `running` of the reports stood at 4, with the callers long answered.
+#[test]
+fn a_run_whose_outcome_was_dropped_by_the_agent_gives_its_place_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = control.local_addr().unwrap().to_string();
+    let town = changed_town(folder.path(), &address, |config| {
+        for class in config["settings"]["Lanes"].as_array_mut().unwrap() {
+            (class["Promise"], class["GiveUp"]) = (json!(1000), json!(1500));
+        }
+    });
+    let mut heard = Heard(BufReader::new(control.accept().unwrap().0));
+    let mut gateway = town.gateway();
+    let runs = 4;
+    for key in 1..=runs {
+        gateway.call("order", &format!(",k={key:032x}"), b"hold");
+    }
+    town.agent.hears_times("launch", runs);
+    // Polls that are answered after the launches show that these were read: none is sent again.
+    town.agent.hears_times("sample", town.agent.count("sample", "") + 3);
+    assert_eq!(town.agent.finish_unheard(), runs);
+    for _ in 0..runs {
+        assert_eq!(gateway.answer().unwrap().word, "500");
+    }
+    heard.until("runs that ended unheard", |report| report.in_flight == runs as f64);
+    // The next notice shows that some are missing.
+    gateway.call("quote", "", b"quick");
+    assert_eq!(gateway.answer().unwrap().word, "200");
+    heard.until("their places to be free", |report| report.in_flight == 0.0);
+    // They ran, for all that is known: a retry gets no second run.
+    gateway.call("order", &format!(",k={:032x}", 1), b"hold");
+    assert_eq!(gateway.answer().unwrap().word, "500");
+    assert_eq!(town.agent.count("launch", ""), runs + 1);
+}
+
+/// A run that goes on through the gap, and says so or ends after it, is in hand until it ends.
+#[test]
+fn a_run_that_is_heard_of_after_the_gap_is_waited_for() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = control.local_addr().unwrap().to_string();
+    let town = town(folder.path(), &address);
+    let mut heard = Heard(BufReader::new(control.accept().unwrap().0));
+    let mut gateway = town.gateway();
+    let (_, name) = gateway.call("order", &format!(",k={:032x}", 7), b"hold");
+    town.agent.hears("launch", &name);
+    town.agent.hears_times("sample", town.agent.count("sample", "") + 3);
+    town.agent.drop_notices();
+    gateway.call("quote", "", b"quick");
+    assert_eq!(gateway.answer().unwrap().word, "200");
+    heard.until("the run", |report| report.in_flight == 1.0);
+    town.agent.finish(&name);
+    assert_eq!(gateway.answer().unwrap().word, "200");
+    heard.until("its end", |report| report.in_flight == 0.0);
+}
+
 #[test]
 fn without_a_control_service_a_server_serves_and_finds_it_when_it_comes() {
     let folder = tempfile::tempdir().unwrap();
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -22,8 +22,10 @@
 struct Farm {
     up: bool,
     mute: bool,
-    /// All notices so far; the first has number 1.
+    /// All notices so far that it retains; the first has the number after those that it has dropped.
     notices: Vec<Value>,
+    /// How many notices it has dropped.
+    dropped: usize,
     link: Option<TcpStream>,
     runs: HashMap<String, Vec<u8>>,
     /// Every command that was read, over all links.
@@ -107,6 +109,27 @@
         });
     }
 
+    /// Ends all runs that hold while the link is cut, and retains none of the notices so far, as after too many others. Gives the
+    /// number of runs.
+    pub fn finish_unheard(&self) -> usize {
+        let mut farm = self.farm.lock();
+        farm.link.take().map(|link| link.shutdown(Shutdown::Both));
+        let runs: Vec<(String, Vec<u8>)> = farm.runs.drain().collect();
+        for (id, body) in &runs {
+            farm.outcome(id, "fine", &[b"done ", &body[..]].concat());
+        }
+        farm.drop_notices();
+        runs.len()
+    }
+
+    /// Cuts the link, and drops notices as after too many: none that was said before is said again, and some are missing.
+    pub fn drop_notices(&self) {
+        let mut farm = self.farm.lock();
+        farm.link.take().map(|link| link.shutdown(Shutdown::Both));
+        farm.notice(json!({"op": "aside", "end": "one that nobody hears"}));
+        farm.drop_notices();
+    }
+
     /// Refuses a run that holds, as that of a txn it does not know.
     pub fn refuse(&self, id: &str) {
         self.farm.change(|farm| {
@@ -134,6 +157,11 @@
 }
 
 impl Farm {
+    fn drop_notices(&mut self) {
+        self.dropped += self.notices.len();
+        self.notices.clear();
+    }
+
     fn commands<'a>(&'a self, op: &'a str, id: &'a str) -> impl Iterator<Item = &'a Value> {
         self.heard.iter().filter(move |line| line["op"] == op && (id.is_empty() || line["id"] == id))
     }
@@ -146,7 +174,7 @@
     }
 
     fn notice(&mut self, mut line: Value) {
-        line["seq"] = json!(self.notices.len() + 1);
+        line["seq"] = json!(self.dropped + self.notices.len() + 1);
         self.notices.push(line.clone());
         self.say(&line);
     }
@@ -196,7 +224,8 @@
             let mut farm = farm.lock();
             farm.say(&json!({"op": "greeting", "end": "running", "ms": 5}));
             let notices = farm.notices.clone();
-            notices.iter().skip(after).for_each(|notice| farm.say(notice));
+            let retained = after.saturating_sub(farm.dropped);
+            notices.iter().skip(retained).for_each(|notice| farm.say(notice));
         }
         farm.change(|farm| farm.take(&line));
     }
