A run that ended in a notice which the agent has dropped gives its place back

Symptom: a request whose run ended while more notices were missed than the agent retains (4,000) stayed in hand for good, with its place among the runs and its memory; its caller was answered at its deadline.

Cause: a request ends by the outcome of its run alone, and a dropped outcome never comes. The reader saw the gap in the numbers, logged "notices 1 to 4 are missing", and nothing else took notice.

Change: a gap marks the runs in hand, and any word of the agent on one takes its mark away. One that is still marked 5 s after its answer and after the gap ends as failed (Rounds::end_unheard). Why it holds: a run either is heard of again or is ended there; its key stays used, so that no retry runs again, and nothing is sent to the agent. A run that goes on unheard past that has its place given twice until it ends.

--- a/crates/server/src/dispatcher/decisions.rs
+++ b/crates/server/src/dispatcher/decisions.rs
@@ -18,6 +18,15 @@
     }
 }
 
+/// The duty to answer a request is over: its run goes on, and one that does not run is over with it.
+pub(super) fn end_answer(in_flight: &mut InFlightRequests, keys: &mut IdempotencyKeys, id: u32, now: f64) {
+    match in_flight.get_mut(id) {
+        Some(request) if request.running => drop(request.answered_at.get_or_insert(now)),
+        Some(_) => end_unrun(in_flight, keys, id, Event::Forgotten),
+        None => {}
+    }
+}
+
 /// Turns the decisions of one round into events for the requests that they concern.
 pub(super) struct DecisionWriter<'a> {
     /// Health and load signal.
@@ -58,10 +67,7 @@
 
     fn fail(&mut self, id: u32, reason: Reason) {
         self.send(id, Event::Fail(reason));
-        // What was held or waited for a result is over with its answer.
-        if self.in_flight.get_mut(id).is_some_and(|request| !request.running) {
-            end_unrun(self.in_flight, self.keys, id, Event::Forgotten);
-        }
+        end_answer(self.in_flight, self.keys, id, self.now);
     }
 
     fn preempt(&mut self, id: u32) {
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -155,9 +155,14 @@
         self.rounds().keys.await_result(key, digest, mailbox);
     }
 
-    /// Where the request of this attempt id waits for events.
-    pub fn mailbox_of(&self, attempt: &AttemptId) -> Option<Arc<Mailbox>> {
-        self.rounds().in_flight.mailbox_of(attempt).cloned()
+    /// The agent has said something of this attempt's run; where its request waits for events.
+    pub fn hear_of(&self, attempt: &AttemptId) -> Option<Arc<Mailbox>> {
+        self.rounds().in_flight.hear_of(attempt).cloned()
+    }
+
+    /// The agent has dropped notices that were not read: any of the runs may have ended unheard.
+    pub fn note_missing_notices(&self, now: f64) {
+        self.rounds().in_flight.note_missing_notices(now);
     }
 
     /// The agent's link is back: all in flight repeat what the agent may have missed.
@@ -206,6 +211,7 @@
         if now >= rounds.housekeeping_at {
             rounds.housekeeping_at = now + times.housekeeping_interval;
             rounds.keys.expire(now);
+            rounds.end_unheard(now);
             let keepalive = rounds.keepalive;
             drop(rounds);
             hooks.keep_house(now, keepalive);
--- a/crates/server/src/dispatcher/rounds.rs
+++ b/crates/server/src/dispatcher/rounds.rs
@@ -1,6 +1,6 @@
 //! The rounds of the policy: what has come in for the next one, and what they decide on.
 
-use super::decisions::{end_unrun, DecisionWriter};
+use super::decisions::{end_answer, DecisionWriter};
 use super::published::PublishedState;
 use crate::runtime::clock;
 use crate::state::idempotency::{IdempotencyKeys, KeyLookup};
@@ -11,6 +11,10 @@
 use puffinladder::{AdmissionPolicy, Gauges, Request, RoundInput};
 use std::sync::Arc;
 
+/// Seconds for which a request that was answered keeps its place after notices were missed that may have told the end of its run.
+/// A run that still goes on then costs no more than a place that is given twice until it ends.
+const UNHEARD_RUN_SPAN: f64 = 5.0;
+
 /// What becomes of a request that is offered to the policy.
 pub enum Offer {
     /// It is in flight under this number.
@@ -128,6 +132,19 @@
         }
     }
 
+    /// Ends requests whose run has ended unheard: its outcome never comes, and the place that it holds would be gone for good. The run
+    /// may have had its effect, so that its key stays used.
+    pub(super) fn end_unheard(&mut self, now: f64) {
+        let unheard = self.in_flight.take_unheard(now, UNHEARD_RUN_SPAN);
+        if !unheard.is_empty() {
+            tracing::warn!(
+                "agent: {} runs ended in notices that are missing: their places are free",
+                unheard.len()
+            );
+        }
+        unheard.iter().for_each(|mailbox| mailbox.send(Event::OutcomeMissed));
+    }
+
     /// Takes the answer to a poll of the gauges; whether it was waited for.
     pub(super) fn receive_gauges(&mut self, tag: u64, gauges: Gauges) -> bool {
         let awaited = self.gauge_poll.pending == Some(tag);
@@ -179,9 +196,7 @@
         let mut writer = DecisionWriter { published, log, in_flight, keys, now, tick_at, keepalive };
         policy.decide(&input.round(now), &mut writer);
         for &id in &input.abandoned {
-            if in_flight.get_mut(id).is_some_and(|request| !request.running) {
-                end_unrun(in_flight, keys, id, Event::Forgotten);
-            }
+            end_answer(in_flight, keys, id, now);
         }
         input.clear();
         self.has_input = false;
--- a/crates/server/src/request/execution.rs
+++ b/crates/server/src/request/execution.rs
@@ -217,6 +217,10 @@
                 self.finish(outcome, took, body);
                 return ControlFlow::Break(ExecutionEnd::Over);
             }
+            Event::OutcomeMissed => {
+                self.finish(Outcome::Failed, 0.0, Vec::new());
+                return ControlFlow::Break(ExecutionEnd::Over);
+            }
             Event::Forgotten | Event::Shutdown => {
                 self.guard.disarm();
                 return ControlFlow::Break(ExecutionEnd::Over);
--- a/crates/server/src/state/in_flight.rs
+++ b/crates/server/src/state/in_flight.rs
@@ -15,6 +15,10 @@
     pub mailbox: Arc<Mailbox>,
     /// The policy has let it run.
     pub running: bool,
+    /// When it got its final answer while its run went on, s.
+    pub answered_at: Option<f64>,
+    /// Since when the outcome of its run may be one that the agent has dropped, s; none once its run is heard of again.
+    pub unheard_since: Option<f64>,
 }
 
 /// All requests in flight.
@@ -38,7 +42,9 @@
         }
         self.last_id = self.last_id.checked_add(1)?;
         self.by_attempt.insert(attempt, self.last_id);
-        self.by_id.insert(self.last_id, InFlightRequest { attempt, key, mailbox, running: false });
+        let request =
+            InFlightRequest { attempt, key, mailbox, running: false, answered_at: None, unheard_since: None };
+        self.by_id.insert(self.last_id, request);
         Some(self.last_id)
     }
 
@@ -54,9 +60,33 @@
         self.by_id.get_mut(&id)
     }
 
-    /// Where the request of this attempt id waits for events.
-    pub fn mailbox_of(&self, attempt: &AttemptId) -> Option<&Arc<Mailbox>> {
-        self.by_id.get(self.by_attempt.get(attempt)?).map(|request| &request.mailbox)
+    /// The agent has said something of this attempt's run; where its request waits for events.
+    pub fn hear_of(&mut self, attempt: &AttemptId) -> Option<&Arc<Mailbox>> {
+        let request = self.by_id.get_mut(self.by_attempt.get(attempt)?)?;
+        request.unheard_since = None;
+        Some(&request.mailbox)
+    }
+
+    /// Notices are missing: any of the runs may have ended unheard.
+    pub fn note_missing_notices(&mut self, now: f64) {
+        for request in self.by_id.values_mut().filter(|request| request.running) {
+            request.unheard_since = Some(now);
+        }
+    }
+
+    /// Requests whose run may have ended unheard, once both that and their answer are `span` seconds past. Each is given once.
+    pub fn take_unheard(&mut self, now: f64, span: f64) -> Vec<Arc<Mailbox>> {
+        let mut unheard = Vec::new();
+        for request in self.by_id.values_mut() {
+            let (Some(since), Some(answered_at)) = (request.unheard_since, request.answered_at) else {
+                continue;
+            };
+            if now - since.max(answered_at) >= span {
+                request.unheard_since = None;
+                unheard.push(request.mailbox.clone());
+            }
+        }
+        unheard
     }
 
     /// How many of them run.
--- a/crates/server/src/state/mailbox.rs
+++ b/crates/server/src/state/mailbox.rs
@@ -48,6 +48,8 @@
         /// Its result.
         body: Vec<u8>,
     },
+    /// Its run has ended in a notice that the agent has dropped, for all that is known.
+    OutcomeMissed,
     /// The agent's link is back, and all notices from before have been read.
     Resume,
     /// The store has answered the call, or the call has failed.
@@ -85,6 +87,7 @@
             Event::Replay => "replay",
             Event::AtCall { .. } => "at call",
             Event::Ended { .. } => "ended",
+            Event::OutcomeMissed => "outcome missed",
             Event::Resume => "resume",
             Event::Returned { .. } => "returned",
             Event::Result(_) => "result",
