The second request under a name runs if the first one never did

Cause: an attempt id in flight failed whoever came second, at once, although the agent refuses the made-up one as soon as it is to run.

Change: the second waits for the first one's end as requests wait for a key: a second at the most, within its own time and until 0.2 s before the kill. It is offered if the first never ran, and fails as before if it did. Why it holds: whether the first ran is known at its end, and until then nothing is said of the second. One waits for each name. What is left: a made-up one that is queued for over a second.

--- a/crates/server/src/dispatcher/decisions.rs
+++ b/crates/server/src/dispatcher/decisions.rs
@@ -14,6 +14,7 @@
         if let Some(key) = &request.key {
             keys.release(key, id);
         }
+        request.tell_second(false);
         request.mailbox.send(event);
     }
 }
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -118,7 +118,9 @@
     /// A request is over; its attempt id is free from now on, whenever the policy gets to hear of it.
     pub fn report_ended(&self, id: u32, outcome: Outcome, duration: f64) {
         self.add_input(|rounds| {
-            rounds.in_flight.remove(id);
+            if let Some(request) = rounds.in_flight.remove(id) {
+                request.tell_second(outcome != Outcome::NotNeeded);
+            }
             rounds.input.finished_runs.push(Completion { id, outcome, duration });
         });
     }
--- a/crates/server/src/dispatcher/rounds.rs
+++ b/crates/server/src/dispatcher/rounds.rs
@@ -19,7 +19,9 @@
 pub enum Offer {
     /// It is in flight under this number.
     Accepted(u32),
-    /// Its attempt id is in flight already.
+    /// A request in flight has its attempt id; it waits at its mailbox, unknown to the policy, for that one's end.
+    AttemptContended,
+    /// A request in flight has its attempt id, and another waits for that already.
     DuplicateAttempt,
     /// A request of other content holds its key; it waits at its mailbox, unknown to the policy.
     KeyContended,
@@ -95,7 +97,7 @@
         deadline: f64,
     ) -> Offer {
         let Some(id) = self.in_flight.insert(received.attempt, received.key, mailbox.clone()) else {
-            return Offer::DuplicateAttempt;
+            return self.contend_for_attempt(received, mailbox, deadline);
         };
         let lookup = received
             .key
@@ -114,6 +116,20 @@
         Offer::Accepted(id)
     }
 
+    /// The offer of a request whose attempt id is in flight. The agent refuses whichever of the two was made up.
+    fn contend_for_attempt(
+        &mut self,
+        received: &ReceivedRequest,
+        mailbox: &Arc<Mailbox>,
+        deadline: f64,
+    ) -> Offer {
+        if !self.in_flight.await_end(&received.attempt, mailbox) {
+            return Offer::DuplicateAttempt;
+        }
+        self.keys.reject_after(deadline, mailbox);
+        Offer::AttemptContended
+    }
+
     /// The offer of a request whose key another request holds.
     fn refuse(
         &mut self,
--- a/crates/server/src/request/execution.rs
+++ b/crates/server/src/request/execution.rs
@@ -102,11 +102,8 @@
         let deadline = self.contention_deadline(now, arrived);
         match context.dispatcher.offer(received, arrived, mailbox, deadline) {
             Offer::Accepted(id) => return Admission::Accepted(id),
-            Offer::DuplicateAttempt => {
-                let message = format_args!("request: tag {tag} failed: its attempt id is in flight already");
-                context.faults.warn(message);
-                reply.fail(Reason::DuplicateName);
-            }
+            Offer::AttemptContended => return self.wait_for_attempt(mailbox, reply),
+            Offer::DuplicateAttempt => self.fail_duplicate(reply),
             Offer::KeyConflict => {
                 let message = format_args!("request: tag {tag} failed: its key belongs to other content");
                 context.faults.warn(message);
@@ -118,7 +115,25 @@
         Admission::Over
     }
 
-    /// Until when it may wait for its key: it has to be answered in its own time, and the policy does not know of it.
+    /// Another request has its attempt id. If that one runs, this may be the same once more, and fails: it may not be said to have
+    /// had no effect.
+    fn wait_for_attempt(&self, mailbox: &Arc<Mailbox>, reply: &mut PendingReply) -> Admission {
+        tracing::trace!(target: LOG_TARGET, "txn at tag {}: waits for its attempt id", self.tag);
+        match (mailbox.receive(), self.connection.renew_mailbox(self.tag)) {
+            (Event::AttemptReleased, Some(new)) => return Admission::OfferAgain(new),
+            (Event::Cancelled, _) => reply.cancel(),
+            _ => self.fail_duplicate(reply),
+        }
+        Admission::Over
+    }
+
+    fn fail_duplicate(&self, reply: &mut PendingReply) {
+        let message = format_args!("request: tag {} failed: its attempt id is in flight already", self.tag);
+        self.context.faults.warn(message);
+        reply.fail(Reason::DuplicateName);
+    }
+
+    /// Until when it may wait for its key or attempt id: it has to be answered in its own time, and the policy does not know of it.
     fn contention_deadline(&self, now: f64, arrived: f64) -> f64 {
         let Offering { context, received, .. } = self;
         let request = &received.request;
@@ -230,6 +245,8 @@
                 self.finish(Outcome::Failed, 0.0, Vec::new());
                 return ControlFlow::Break(ExecutionEnd::Over);
             }
+            // For those that wait to be offered again: this one was offered.
+            Event::AttemptReleased | Event::AttemptTaken => {}
             Event::Forgotten | Event::Shutdown => {
                 self.guard.disarm();
                 return ControlFlow::Break(ExecutionEnd::Over);
--- a/crates/server/src/state/idempotency.rs
+++ b/crates/server/src/state/idempotency.rs
@@ -58,7 +58,7 @@
     key: IdempotencyKey,
 }
 
-/// A request that waits for a key which one of other content holds.
+/// A request that waits for a key which one of other content holds, or for an attempt id that is in flight.
 struct Contender {
     deadline: f64,
     mailbox: Arc<Mailbox>,
@@ -136,10 +136,15 @@
         deadline: f64,
     ) {
         self.await_result(key, digest, mailbox);
+        self.reject_after(deadline, mailbox);
+    }
+
+    /// Rejects whoever waits at this mailbox, for a key or for an attempt id, after `deadline`.
+    pub fn reject_after(&mut self, deadline: f64, mailbox: &Arc<Mailbox>) {
         self.contenders.push(Contender { deadline, mailbox: mailbox.clone() });
     }
 
-    /// Has all who wait for a key, and whoever comes to wait, answered by this time: nobody else knows of them.
+    /// Has all who wait, and whoever comes to wait, answered by this time: nobody else knows of them.
     pub fn answer_by(&mut self, time: f64) {
         self.answer_by = time;
     }
--- a/crates/server/src/state/in_flight.rs
+++ b/crates/server/src/state/in_flight.rs
@@ -1,7 +1,7 @@
 //! The requests in flight, by the number that the policy knows and by the attempt id that agent and store know.
 
 use super::identifiers::{AttemptId, IdempotencyKey};
-use super::mailbox::Mailbox;
+use super::mailbox::{Event, Mailbox};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -17,10 +17,21 @@
     pub running: bool,
     /// When it got its final answer while its run went on, s.
     pub answered_at: Option<f64>,
+    /// Where the request that came second under the same attempt id waits: it is offered again if this one never ran.
+    pub second: Option<Arc<Mailbox>>,
     /// Since when the outcome of its run may be one that the agent has dropped, s; none once its run is heard of again.
     pub unheard_since: Option<f64>,
 }
 
+impl InFlightRequest {
+    /// Tells the second request under its attempt id, if there is one, that this one is over.
+    pub fn tell_second(&self, ran: bool) {
+        if let Some(second) = &self.second {
+            second.send(if ran { Event::AttemptTaken } else { Event::AttemptReleased });
+        }
+    }
+}
+
 /// All requests in flight.
 #[derive(Default)]
 pub struct InFlightRequests {
@@ -42,12 +53,27 @@
         }
         self.last_id = self.last_id.checked_add(1)?;
         self.by_attempt.insert(attempt, self.last_id);
-        let request =
-            InFlightRequest { attempt, key, mailbox, running: false, answered_at: None, unheard_since: None };
+        let request = InFlightRequest {
+            attempt,
+            key,
+            mailbox,
+            running: false,
+            answered_at: None,
+            second: None,
+            unheard_since: None,
+        };
         self.by_id.insert(self.last_id, request);
         Some(self.last_id)
     }
 
+    /// Has a request wait for the end of the one in flight under its attempt id; `false` where another waits already.
+    pub fn await_end(&mut self, attempt: &AttemptId, mailbox: &Arc<Mailbox>) -> bool {
+        let first = self.by_attempt.get(attempt).and_then(|id| self.by_id.get_mut(id));
+        let Some(first) = first.filter(|first| first.second.is_none()) else { return false };
+        first.second = Some(mailbox.clone());
+        true
+    }
+
     /// Takes a request out.
     pub fn remove(&mut self, id: u32) -> Option<InFlightRequest> {
         let request = self.by_id.remove(&id)?;
--- a/crates/server/src/state/mailbox.rs
+++ b/crates/server/src/state/mailbox.rs
@@ -65,6 +65,10 @@
     Result(Option<Arc<Vec<u8>>>),
     /// The earlier attempt never ran: this one takes the idempotency key over.
     KeyReleased,
+    /// The earlier request under its attempt id never ran: this one takes the id over.
+    AttemptReleased,
+    /// The earlier request under its attempt id has run.
+    AttemptTaken,
     /// The gateway has cancelled it or is gone.
     Cancelled,
     /// The policy no longer knows this request.
@@ -92,6 +96,8 @@
             Event::Returned { .. } => "returned",
             Event::Result(_) => "result",
             Event::KeyReleased => "key released",
+            Event::AttemptReleased => "attempt released",
+            Event::AttemptTaken => "attempt taken",
             Event::Cancelled => "gone",
             Event::Forgotten => "forgotten",
             Event::Shutdown => "shut down",
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -645,3 +645,61 @@
     assert_eq!(answer(&mut waiter, tag).word, "503");
     assert!(called.elapsed() <= Duration::from_millis(time), "{:?}", called.elapsed());
 }
+
+/// Symptom: a request under a name that a made-up one had taken a moment before was answered with 500, which an unsafe request's
+/// caller may not try again. Cause: an attempt id that was in flight already failed whoever came second, although the agent refuses
+/// the made-up one as soon as it is to run.
+#[test]
+fn the_name_of_another_request_spoils_nothing_even_if_it_came_first() {
+    let town = town();
+    let (mut good, mut bad) = (town.gateway(), town.gateway());
+    let (made_up, name) = bad.call("quote", "", b"hold, made up");
+    town.agent.hears("launch", &name);
+    let tag = good.call_named(&name, "quote", "", b"an order");
+    town.logs("waits for its attempt id");
+    town.agent.refuse(&name);
+    assert_eq!(answer(&mut bad, made_up).word, "500");
+    let got = answer(&mut good, tag);
+    assert_eq!((got.word.as_str(), got.body), ("200", b"done an order".to_vec()));
+}
+
+/// The first is the true one, and the second what was made up, or the same once more.
+#[test]
+fn a_second_request_under_a_name_fails_once_the_first_has_run_and_never_runs() {
+    let town = town();
+    let (mut good, mut bad) = (town.gateway(), town.gateway());
+    let (tag, name) = good.call("quote", "", b"hold an order");
+    town.agent.hears("launch", &name);
+    let second = bad.call_named(&name, "quote", "", b"made up");
+    // Only one waits.
+    let third = good.call_named(&name, "quote", "", b"made up too");
+    assert_eq!(answer(&mut good, third).word, "500");
+    town.agent.finish(&name);
+    assert_eq!(answer(&mut good, tag).word, "200");
+    assert_eq!(answer(&mut bad, second).word, "500");
+    assert_eq!(town.agent.count("launch", ""), 1);
+    // Its name is free again, and nothing is left of who waited for it.
+    let again = bad.call_named(&name, "quote", "", b"quick");
+    assert_eq!(answer(&mut bad, again).word, "200");
+}
+
+/// It has a second, or its own time, or until the kill, as one that waits for a key; then it fails, since the first may be the same.
+#[test]
+fn a_second_request_under_a_name_is_answered_in_time_while_the_first_runs_on() {
+    let mut town = Town::open(SERVER, |config| {
+        config["stop_ms"] = json!(700);
+        config["settings"]["FamilyInfo"]["Halt"] = json!("silent");
+    });
+    let (mut first, mut second) = (town.gateway(), town.gateway());
+    let (_, name) = first.call("quote", "", b"hold");
+    town.agent.hears("launch", &name);
+    let called = Instant::now();
+    let tag = second.call_named(&name, "quote", "", b"made up");
+    assert_eq!(answer(&mut second, tag).word, "500");
+    assert!(called.elapsed() <= Duration::from_millis(1500), "{:?}", called.elapsed());
+    let tag = second.call_named(&name, "quote", "", b"made up too");
+    town.logs("waits for its attempt id");
+    town.term();
+    assert_eq!(answer(&mut second, tag).word, "500");
+    assert!(town.end().success());
+}
--- a/examples/toy/src/gateway.rs
+++ b/examples/toy/src/gateway.rs
@@ -40,12 +40,17 @@
     /// Sends a txn under a new name, which it returns with the tag.
     pub fn call(&mut self, class: &str, more: &str, body: &[u8]) -> (u64, String) {
         let name = format!("{:016x}", NAMES.fetch_add(1, Ordering::Relaxed));
+        (self.call_named(&name, class, more, body), name)
+    }
+
+    /// Sends a txn under this name, and returns its tag.
+    pub fn call_named(&mut self, name: &str, class: &str, more: &str, body: &[u8]) -> u64 {
         let now = now();
         let fields = format!("i={name},s={now},f=1,t=acme,h=10.5,m=20.5,p=0.5{more}");
         self.tag += 1;
         let tag = self.tag.to_string();
         self.send(&[b"CALL", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
-        (self.tag, name)
+        self.tag
     }
 
     /// Reads to the end of the connection; an error if it was reset.
