A connection of requests that the agent does not know starves nobody else

Cause: a made-up request is queued, counts against its tenant's quota and holds a place until the agent has refused its launch; true ones stand behind as many as the flood keeps open.

Change: a connection of which the agent refused eight in a row is suspected. Its requests are rejected before the policy hears of them and the queued ones at their turn, with the new reason "unknown"; one a second is let through, and the first that the agent knows clears it. Why it holds: what a suspected connection brings costs neither queue, quota nor agent but for that one; nothing ran, so 503 is true. What is left: eight more with every new connection.

--- a/crates/server/src/request/execution.rs
+++ b/crates/server/src/request/execution.rs
@@ -9,6 +9,7 @@
 use crate::state::received_request::ReceivedRequest;
 use crate::wire::agent::link::{CommandStamp, NO_COMMAND};
 use crate::wire::gateway::connection::Connection;
+use crate::wire::gateway::refusals::Standing;
 use crate::wire::store::StoreCall;
 use puffinladder::{Outcome, Reason};
 use puffinladder_trace::row::Step;
@@ -42,8 +43,8 @@
 
 /// What becomes of a request after an offer.
 enum Admission {
-    /// In flight under this number.
-    Accepted(u32),
+    /// In flight under this number; as a probe of its connection or not.
+    Accepted { id: u32, is_probe: bool },
     /// It waited for its key, and is to be offered again with this mailbox.
     OfferAgain(Arc<Mailbox>),
     /// It is over.
@@ -70,8 +71,8 @@
     let mut reply = PendingReply::new(context, connection, tag, received);
     loop {
         let offered = Offering { context, received, connection, tag }.offer(&mailbox, &mut reply);
-        let id = match offered {
-            Admission::Accepted(id) => id,
+        let (id, is_probe) = match offered {
+            Admission::Accepted { id, is_probe } => (id, is_probe),
             Admission::OfferAgain(new) => {
                 mailbox = new;
                 continue;
@@ -79,6 +80,7 @@
             Admission::Over => return,
         };
         let mut execution = Execution::new(context, received, connection, tag, id, &mut reply);
+        execution.is_probe = is_probe;
         match execution.run(&mailbox) {
             ExecutionEnd::Over => return,
             ExecutionEnd::OfferAgain(new) => mailbox = new,
@@ -98,10 +100,15 @@
     fn offer(&self, mailbox: &Arc<Mailbox>, reply: &mut PendingReply) -> Admission {
         let Offering { context, received, tag, .. } = self;
         let now = context.clock.now();
+        let standing = self.connection.refusals.judge(now);
+        if standing == Standing::Suspected {
+            reply.reject(0.0, false, Reason::UnknownToAgent);
+            return Admission::Over;
+        }
         let arrived = now - clock::seconds_since(received.timestamp);
         let deadline = self.contention_deadline(now, arrived);
         match context.dispatcher.offer(received, arrived, mailbox, deadline) {
-            Offer::Accepted(id) => return Admission::Accepted(id),
+            Offer::Accepted(id) => return Admission::Accepted { id, is_probe: standing == Standing::Probe },
             Offer::AttemptContended => return self.wait_for_attempt(mailbox, reply),
             Offer::DuplicateAttempt => self.fail_duplicate(reply),
             Offer::KeyConflict => {
@@ -161,6 +168,8 @@
     connection: &'a Connection,
     tag: u64,
     id: u32,
+    /// It is to show whether its suspected connection brings true requests.
+    is_probe: bool,
     guard: InFlightGuard<'a>,
     reply: &'r mut PendingReply<'a>,
     last_command: AgentCommand,
@@ -185,6 +194,7 @@
             connection,
             tag,
             id,
+            is_probe: false,
             guard: InFlightGuard::new(context, received.key, id),
             reply,
             last_command: AgentCommand::None,
@@ -208,6 +218,10 @@
 
     fn handle(&mut self, event: Event, mailbox: &Arc<Mailbox>) -> ControlFlow<ExecutionEnd> {
         match event {
+            Event::Run if self.is_made_up() => {
+                self.reject_made_up();
+                return ControlFlow::Break(ExecutionEnd::Over);
+            }
             Event::Run => self.launch_or_thaw(),
             Event::Pause => self.freeze(),
             Event::Replay => self.await_result(mailbox),
@@ -237,7 +251,13 @@
                 self.finish_with_result(result);
                 return ControlFlow::Break(ExecutionEnd::Over);
             }
+            Event::Refused => {
+                self.connection.refusals.note_refused();
+                self.finish(Outcome::NotNeeded, 0.0, Vec::new());
+                return ControlFlow::Break(ExecutionEnd::Over);
+            }
             Event::Ended { outcome, took, body } => {
+                self.connection.refusals.note_known();
                 self.finish(outcome, took, body);
                 return ControlFlow::Break(ExecutionEnd::Over);
             }
@@ -255,6 +275,17 @@
         ControlFlow::Continue(())
     }
 
+    /// Whether it was queued before its connection was suspected, and never ran.
+    fn is_made_up(&self) -> bool {
+        !self.paused && !self.is_probe && self.connection.refusals.is_suspected()
+    }
+
+    fn reject_made_up(&mut self) {
+        self.reply.reject(0.0, false, Reason::UnknownToAgent);
+        self.context.dispatcher.release_key(self.received.key.as_ref(), self.id);
+        self.guard.report_ended(Outcome::NotNeeded, 0.0);
+    }
+
     /// The policy has judged its wait, and gives it to the cores.
     fn launch_or_thaw(&mut self) {
         let (command, step) = match std::mem::take(&mut self.paused) {
--- a/crates/server/src/state/mailbox.rs
+++ b/crates/server/src/state/mailbox.rs
@@ -48,6 +48,8 @@
         /// Its result.
         body: Vec<u8>,
     },
+    /// The agent refuses to run it, as a request that it does not know.
+    Refused,
     /// Its run has ended in a notice that the agent has dropped, for all that is known.
     OutcomeMissed,
     /// The agent's link is back, and all notices from before have been read.
@@ -91,6 +93,7 @@
             Event::Replay => "replay",
             Event::AtCall { .. } => "at call",
             Event::Ended { .. } => "ended",
+            Event::Refused => "refused",
             Event::OutcomeMissed => "outcome missed",
             Event::Resume => "resume",
             Event::Returned { .. } => "returned",
--- a/crates/server/src/wire/agent/reader.rs
+++ b/crates/server/src/wire/agent/reader.rs
@@ -13,7 +13,7 @@
 use crate::wire::ring::{ReadOutcome, RingBuffer};
 use may::io::WaitIo;
 use may::net::TcpStream;
-use puffinladder::{Gauges, Outcome};
+use puffinladder::Gauges;
 use puffinladder_settings::ServerConfig;
 use serde_json::Value;
 use std::convert::Infallible;
@@ -162,8 +162,7 @@
                 let id = notice::text(line, "id");
                 self.faults.warn(format_args!("agent: {command} refused for {id}"));
                 if command == "launch" {
-                    let (outcome, body) = (Outcome::NotNeeded, Vec::new());
-                    self.send(line, Event::Ended { outcome, took: 0.0, body });
+                    self.send(line, Event::Refused);
                 }
             }
             Notice::Unknown => tracing::debug!("agent: ignored: {line}"),
--- a/crates/server/src/wire/gateway/connection.rs
+++ b/crates/server/src/wire/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a gateway: the requests that are open on it, and the bytes that wait to go out.
 
+use super::refusals::Refusals;
 use super::tags::UsedTags;
 use crate::limits::Limits;
 use crate::runtime::clock::Clock;
@@ -35,6 +36,8 @@
 /// What a request keeps of the connection on which its answer is owed; the socket itself may be long gone.
 pub struct Connection {
     state: Mutex<ConnectionState>,
+    /// Its requests that the agent does not know.
+    pub refusals: Refusals,
     waker: WaitIoWaker,
     context: Arc<ConnectionContext>,
 }
@@ -121,7 +124,8 @@
     /// A connection that was just accepted.
     pub fn new(context: &Arc<ConnectionContext>, stream: &TcpStream) -> Connection {
         let state = ConnectionState::new(context.clock.now(), &context.limits);
-        Connection { state: Mutex::new(state), waker: stream.waker(), context: context.clone() }
+        let refusals = Refusals::default();
+        Connection { state: Mutex::new(state), refusals, waker: stream.waker(), context: context.clone() }
     }
 
     /// The locked state.
--- a/crates/server/src/wire/gateway/mod.rs
+++ b/crates/server/src/wire/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod connection;
 pub mod connections;
+pub mod refusals;
 mod tags;
 
 #[cfg(test)]
--- a/crates/server/tests/stories.rs
+++ b/crates/server/tests/stories.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::Shutdown;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -703,3 +703,65 @@
     assert_eq!(answer(&mut second, tag).word, "500");
     assert!(town.end().success());
 }
+
+/// Symptom: while one client sent well-formed requests that the agent does not know, on 8 connections with 30 open on each, another
+/// client's requests were rejected for as long as that went on. Cause: each made-up request was queued, counted against its tenant's
+/// quota and held a place until the agent had refused it, so that true ones stood behind as many as the flood kept open.
+#[test]
+fn a_flood_of_requests_that_the_agent_does_not_know_starves_nobody_else() {
+    const FLOODERS: usize = 8;
+    const OPEN_EACH: usize = 30;
+    let town = Town::open(SERVER, |config| {
+        for class in config["settings"]["Lanes"].as_array_mut().unwrap() {
+            (class["Promise"], class["GiveUp"]) = (json!(2_000), json!(4_000));
+        }
+    });
+    let over = Arc::new(AtomicBool::new(false));
+    let flooders: Vec<_> = (0..FLOODERS)
+        .map(|_| {
+            let (mut gateway, over) = (town.gateway(), over.clone());
+            std::thread::spawn(move || {
+                (0..OPEN_EACH).for_each(|_| drop(gateway.call("quote", "", b"refuse slowly")));
+                while !over.load(Ordering::Relaxed) {
+                    if gateway.answer().expect("an answer").word == "503" {
+                        // It is to keep the queue full, not the machine busy.
+                        std::thread::sleep(Duration::from_millis(5));
+                    }
+                    gateway.call("quote", "", b"refuse slowly");
+                }
+            })
+        })
+        .collect();
+    // From here on more than the first of each connection are refused.
+    town.agent.hears_times("launch", 10 * FLOODERS);
+    let mut gateway = town.gateway();
+    for _ in 0..20 {
+        assert_eq!(word(&mut gateway, "quote", "", b"quick"), "200");
+    }
+    over.store(true, Ordering::Relaxed);
+    flooders.into_iter().for_each(|flooder| flooder.join().unwrap());
+}
+
+/// A connection whose requests the agent refused may bring true ones too: they are rejected for a moment at the most, and never fail.
+#[test]
+fn a_connection_that_brought_requests_that_the_agent_does_not_know_is_served_again() {
+    let town = town();
+    let mut gateway = town.gateway();
+    let mut rejected = 0;
+    for _ in 0..20 {
+        rejected += usize::from(word(&mut gateway, "quote", "", b"refuse") == "503");
+    }
+    assert!(rejected > 0 && town.agent.count("launch", "") < 20, "{rejected} rejected");
+    let end = Instant::now() + Duration::from_secs(20);
+    while word(&mut gateway, "quote", "", b"quick") != "200" {
+        assert!(Instant::now() < end, "it is rejected for good");
+        std::thread::yield_now();
+    }
+    // A few that it does not know are nobody's harm, and one that it knows clears the connection.
+    for _ in 0..3 {
+        for _ in 0..4 {
+            assert_eq!(word(&mut gateway, "quote", "", b"refuse"), "500");
+        }
+        assert_eq!(word(&mut gateway, "quote", "", b"quick"), "200");
+    }
+}
--- a/examples/toy/src/agent.rs
+++ b/examples/toy/src/agent.rs
@@ -7,6 +7,7 @@
 //! | `fail` | ends in a fault |
 //! | `late` | never begins |
 //! | `refuse` | is refused, as that of a txn it does not know |
+//! | `refuse slowly` | likewise, and the agent takes a moment for it |
 //! | anything else | gives `done` and the body |
 
 use crate::Watched;
@@ -17,6 +18,10 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
+
+/// What a refusal takes that takes a moment.
+const SLOW_REFUSAL: Duration = Duration::from_millis(10);
 
 #[derive(Default, Debug)]
 struct Farm {
@@ -194,6 +199,9 @@
             "launch" if body.starts_with(b"fail") => self.outcome(&id, "fault", b""),
             "launch" if body.starts_with(b"late") => self.outcome(&id, "late", b""),
             "launch" if body.starts_with(b"refuse") => {
+                if body.starts_with(b"refuse slowly") {
+                    thread::sleep(SLOW_REFUSAL);
+                }
                 self.say(&json!({"op": "refusal", "end": "launch", "id": id}));
             }
             "launch" if body.starts_with(b"call ") => {
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -63,10 +63,13 @@
     // The policy's again.
     /// The server is warming up and has as much in flight as it can bear.
     WarmingUp,
+    // The host's.
+    /// The agent did not know the requests that came before it on its connection.
+    UnknownToAgent,
 }
 
 impl Reason {
-    const ALL: [(Reason, &'static str); 14] = [
+    const ALL: [(Reason, &'static str); 15] = [
         (Reason::WaitedTooLong, "waited"),
         (Reason::InsufficientTime, "no time"),
         (Reason::MemoryPressure, "memory"),
@@ -81,6 +84,7 @@
         (Reason::KeyConflict, "key taken"),
         (Reason::HandlerLost, "lost"),
         (Reason::WarmingUp, "cold"),
+        (Reason::UnknownToAgent, "unknown"),
     ];
 
     /// As logs, traces and load reports write it.
