Tests of trace, proving and the command line stand in files of their own; two import circles go

Need: tests live in test files, and two circles were left: capacity's reckon and tables (over how figures are written), worker's store_connection, trace_files and transfer (over their error). Change: 16 inline test modules moved as they are, one level out; capacity::unit has the units and their texts, worker's transfer_error the error. No behaviour, text or assertion changed.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod point;
 pub mod reckon;
 pub mod tables;
+pub mod unit;
--- a/crates/capacity/src/reckon.rs
+++ b/crates/capacity/src/reckon.rs
@@ -6,6 +6,7 @@
 
 use crate::estimate::{Costs, Estimate, Sizes};
 use crate::plan::{Machine, Plan};
+use crate::unit::{show, Unit};
 
 /// What the code itself refuses more than, whatever it costs.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,15 +39,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unit {
-    Cores,
-    Bytes,
-    BytesASecond,
-    Seconds,
-    Count,
-}
-
 /// One line of the budgets.
 #[derive(Clone, Debug)]
 pub struct Line {
@@ -154,9 +146,8 @@
         let all = parts.iter().fold(Estimate::sum(), |sum, (_, part)| sum.plus(part));
         let mut line = Line::of("a server's bytes for control", all, plan.server.bytes, Unit::BytesASecond);
         let told = parts.iter().filter(|(_, part)| part.known);
-        let told: Vec<String> = told
-            .map(|(name, part)| format!("{name} {}", crate::tables::show(part.value, line.unit)))
-            .collect();
+        let told: Vec<String> =
+            told.map(|(name, part)| format!("{name} {}", show(part.value, line.unit))).collect();
         if !told.is_empty() {
             let stop = if line.why.is_empty() { "" } else { "; " };
             line.why = format!("{}{stop}{}", told.join(", "), line.why);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -145,11 +145,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_command_line_is_sound() {
-        Line::command().debug_assert();
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/cli/src/tests.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+#[test]
+fn the_command_line_is_sound() {
+    Line::command().debug_assert();
+}
--- /dev/null
+++ b/crates/proving/src/schedule/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+#[test]
+fn drawn_schedules_are_the_same_for_a_seed_and_read_back_as_they_are_written() {
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..300 {
+        let drawn = Schedule::draw(seed, &Schedule { keepers: 5, stewards: 12, ..Schedule::default() });
+        assert_eq!(
+            drawn,
+            Schedule::draw(seed, &Schedule { keepers: 5, stewards: 12, ..Schedule::default() })
+        );
+        assert_eq!(Schedule::read("drawn", &drawn.to_string()).unwrap(), drawn, "{drawn}");
+        kinds.extend(drawn.faults.iter().map(|fault| fault.what.word()));
+    }
+    assert!(kinds.len() >= 12, "{kinds:?}");
+}
+
+#[test]
+fn what_a_schedule_cannot_mean_is_named_with_its_place() {
+    let text = "(schedule (keepers 3)\n (fault (at 1s) (do pause) (who \"k9\"))\n (fault (do melt) (who \"s1\"))\n (fault (at 1s) (do sync) (who \"s1\") (to \"k1\")))";
+    let said: Vec<String> =
+        Schedule::read("f", text).unwrap_err().iter().map(Diagnostic::to_string).collect();
+    for wanted in [
+        "f:2:28: schedule.fault.who: \"k9\"",
+        "schedule.fault.at: should be given",
+        "schedule.fault.do: should be one of pause",
+        "schedule.fault.to: is for links alone",
+        "schedule.fault.who: should be a keeper",
+    ] {
+        assert!(said.iter().any(|line| line.contains(wanted)), "{wanted}: {said:#?}");
+    }
+    assert!(Schedule::read("f", "").unwrap_err()[0].to_string().contains("schedule: should be given"));
+}
+
+#[test]
+fn a_fault_of_a_link_is_turned_for_whoever_dialled() {
+    let fault =
+        Fault { to: Some(Who::Archive), way: Way::There, ..Fault::new(0.0, What::Cut, Who::Steward(1), 1.0) };
+    assert_eq!(fault.hits(Who::Steward(1), Who::Archive), Some(Way::There));
+    assert_eq!(fault.hits(Who::Steward(2), Who::Archive), None);
+    let turned =
+        Fault { to: Some(Who::Steward(1)), way: Way::There, ..Fault::new(0.0, What::Cut, Who::Archive, 1.0) };
+    assert_eq!(turned.hits(Who::Steward(1), Who::Archive), Some(Way::Back));
+    let all = Fault::new(0.0, What::Cut, Who::Keeper(1), 1.0);
+    assert_eq!(all.hits(Who::Steward(4), Who::Keeper(1)), Some(Way::Both));
+}
--- /dev/null
+++ b/crates/trace/src/codec/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+use proptest::prelude::*;
+
+#[test]
+fn a_size_rounded_once_stays_and_keeps_its_order() {
+    for bits in [SPAN, ROUGH] {
+        let corners = (12..32).flat_map(|b| [1 << b, (1 << b) - 1, (1 << b) + 77]);
+        for value in (0..4096).chain(corners).chain([u32::MAX]) {
+            let near = rounded(value, bits);
+            assert_eq!(rounded(near, bits), near, "{value}");
+            let off = (f64::from(near) - f64::from(value)).abs();
+            assert!(off <= f64::from(value) / f64::from(1 << bits), "{value}: {near}");
+        }
+        let last = coarse(u32::MAX, bits);
+        assert!((0..last).all(|c| fine(c, bits) < fine(c + 1, bits)));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(16), ..ProptestConfig::default() })]
+    #[test]
+    fn columns_come_back(values in proptest::collection::vec(any::<u64>().prop_map(|v| v >> (v % 61)), 0..600)) {
+        let mut bytes = Vec::new();
+        put_column(&mut bytes, &values);
+        prop_assert_eq!(take_column(&mut Cursor(&bytes), Some(values.len())).unwrap(), values);
+    }
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = take_column(&mut Cursor(&bytes), None);
+        let _ = take_packed(&mut Cursor(&bytes), MOST_HEAD);
+    }
+}
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -16,4 +16,5 @@
 mod store_connection;
 mod trace_files;
 pub mod transfer;
+mod transfer_error;
 mod worker;
--- a/crates/worker/src/store_connection.rs
+++ b/crates/worker/src/store_connection.rs
@@ -1,6 +1,6 @@
 //! The connection to the trace store: one request at a time.
 
-use crate::transfer::TransferError;
+use crate::transfer_error::TransferError;
 use puffinladder_trace_store::protocol::{Request, Response};
 use puffinladder_transport::{connect, write_line, LineReader};
 use std::net::SocketAddr;
--- a/crates/worker/src/trace_files.rs
+++ b/crates/worker/src/trace_files.rs
@@ -1,7 +1,7 @@
 //! The trace files in the servers' folders: which there are, and the blocks that they hold.
 
 use crate::collection::{mark_finished, part_of, ListedFile, TraceFile};
-use crate::transfer::TransferError;
+use crate::transfer_error::TransferError;
 use puffinladder_trace::file::{pack_notes, pack_rows, Entry, Kind, Packed};
 use puffinladder_trace::{Fault, Names, Trace};
 use puffinladder_trace_store::index::is_valid_name;
--- a/crates/worker/src/transfer.rs
+++ b/crates/worker/src/transfer.rs
@@ -4,65 +4,19 @@
 use crate::config::CollectionConfig;
 use crate::store_connection::StoreConnection;
 use crate::trace_files::{list_trace_files, read_block, OpenFile, ReadBlock};
+pub use crate::transfer_error::TransferError;
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use puffinladder_leases::fence::Verdict;
 use puffinladder_leases::{Epoch, Task};
 use puffinladder_trace_store::protocol::{BlockId, FileId, FileProgress, PutOutcome, Request, Response};
-use puffinladder_transport::{Clock, TransportError};
-use std::io;
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use puffinladder_transport::Clock;
 use std::sync::atomic::{AtomicBool, Ordering};
-use thiserror::Error;
-use tokio::task::JoinError;
 
 /// How much of the longest time of a block remains after each block, as a share: the disk of the trace store is slow now and then.
 const BLOCK_TIME_DECAY: f64 = 0.9;
 /// A block is begun only while so many times its expected time is left of the step.
 const BLOCK_TIME_MARGIN: f64 = 2.0;
 
-/// Why a step ended before its time.
-#[derive(Debug, Error)]
-pub enum TransferError {
-    /// The trace store can't be reached.
-    #[error("the trace store at {address}: {source}")]
-    Connect {
-        /// Where it should listen.
-        address: SocketAddr,
-        /// What failed.
-        source: io::Error,
-    },
-    /// The connection to the trace store failed.
-    #[error("the trace store: {0}")]
-    Transport(#[from] TransportError),
-    /// The trace store closed the connection.
-    #[error("the trace store closed the connection")]
-    ClosedByStore,
-    /// No connection to the trace store is open.
-    #[error("not connected to the trace store")]
-    NotConnected,
-    /// The trace store did not respond within the step.
-    #[error("the trace store does not respond within the step")]
-    TimedOut,
-    /// The trace store has no capacity left.
-    #[error("the trace store is full")]
-    StoreFull,
-    /// The response does not fit the request.
-    #[error("the trace store responds {0:?}")]
-    UnexpectedResponse(Response),
-    /// The servers' folders can't be listed.
-    #[error("{path}: {source}")]
-    List {
-        /// The folder that holds them.
-        path: PathBuf,
-        /// What failed.
-        source: io::Error,
-    },
-    /// A task that reads files panicked.
-    #[error("{0}")]
-    ReaderPanicked(#[from] JoinError),
-}
-
 /// How a step ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StepOutcome {
