--- a/crates/cli/src/prove/mod.rs
+++ b/crates/cli/src/prove/mod.rs
@@ -26,7 +26,7 @@
 #[derive(Args)]
 #[command(
     args_conflicts_with_subcommands = true,
-    after_help = "Examples:\n  puffinladder prove schedule.scm --keep runs\n  puffinladder prove random --seed 1 --count 20 --stewards 14\n\n\
+    after_help = "Examples:\n  puffinladder prove schedule.scm --keep runs\n  puffinladder prove random --seed 1 --count 20 --workers 14\n\n\
         What fails leaves a folder with the schedule, the history, all logs and a picture."
 )]
 pub struct Line {
@@ -35,22 +35,24 @@
     /// Keep the run in a folder here, whatever came of it
     #[arg(long, value_name = "FOLDER")]
     keep: Option<PathBuf>,
-    /// Plant a bug in the archive, which the checkers must find: forgets-epochs, two-steps
-    #[arg(long, value_name = "BUG")]
-    plant: Option<InjectedBug>,
+    /// Inject a bug into the trace store, which the checkers must find: forgets-epochs, two-steps
+    #[arg(long = "inject", alias = "plant", value_name = "BUG")]
+    injected_bug: Option<InjectedBug>,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
 #[derive(Args)]
 struct Size {
-    #[arg(long, default_value_t = 3)]
-    keepers: u64,
-    #[arg(long, default_value_t = 4)]
-    stewards: usize,
-    /// Stand-in servers that share a quota and leave by turns
-    #[arg(long, default_value_t = 0)]
-    seats: usize,
+    /// Replicas of the lease store
+    #[arg(long, alias = "keepers", default_value_t = 3)]
+    replicas: u64,
+    /// Workers that hold leases
+    #[arg(long, alias = "stewards", default_value_t = 4)]
+    workers: usize,
+    /// Stand-in servers that share a quota and drain by slots
+    #[arg(long, alias = "seats", default_value_t = 0)]
+    quota_servers: usize,
     /// Servers whose traces are gathered
     #[arg(long, default_value_t = 8)]
     servers: usize,
@@ -69,7 +71,7 @@
 enum Command {
     /// Schedules drawn from seeds, one after the other or several at once
     #[command(
-        after_help = "Example:\n  puffinladder prove random --seed 1 --count 500 --stewards 16 --jobs 3"
+        after_help = "Example:\n  puffinladder prove random --seed 1 --count 500 --workers 16 --jobs 3"
     )]
     Random {
         #[arg(long, default_value_t = 1)]
@@ -85,9 +87,9 @@
         /// Cut a schedule that fails down to the least that does, with so many tries
         #[arg(long, default_value_t = 0)]
         shrink: usize,
-        /// Plant a bug in the archive
-        #[arg(long, value_name = "BUG")]
-        plant: Option<InjectedBug>,
+        /// Inject a bug into the trace store
+        #[arg(long = "inject", alias = "plant", value_name = "BUG")]
+        injected_bug: Option<InjectedBug>,
         #[command(flatten)]
         size: Size,
     },
@@ -153,19 +155,19 @@
 pub fn run(line: Line) -> Done {
     match (line.command, line.schedule) {
         (None, None) => Err(Wrong::Asked("a schedule or a command should be given, see --help".into())),
-        (None, Some(path)) => one(&path, line.keep, line.plant),
-        (Some(Command::Random { seed, count, jobs, failed, shrink, plant, size }), _) => {
+        (None, Some(path)) => one(&path, line.keep, line.injected_bug),
+        (Some(Command::Random { seed, count, jobs, failed, shrink, injected_bug, size }), _) => {
             let size = Schedule {
-                keepers: size.keepers,
-                stewards: size.stewards,
-                seats: size.seats,
+                keepers: size.replicas,
+                stewards: size.workers,
+                seats: size.quota_servers,
                 servers: size.servers,
                 parts: size.parts,
                 span: size.span,
                 term: size.term,
                 ..Schedule::default()
             };
-            random(seed, count, jobs.max(1), failed, shrink, plant, &size)
+            random(seed, count, jobs.max(1), failed, shrink, injected_bug, &size)
         }
         (Some(Command::Bench { rounds, instances, parts, span }), _) => {
             let setup = ground(std::env::temp_dir(), false, None)?;
