--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod gateway;
 pub mod harness;
 pub mod http;
+pub mod load;
+pub mod machine;
+pub mod shared_store;
 
 use std::fmt::Debug;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -22,6 +25,12 @@
     changed: Condvar,
 }
 
+impl<T> From<T> for Monitor<T> {
+    fn from(value: T) -> Monitor<T> {
+        Monitor { value: Mutex::new(value), changed: Condvar::new() }
+    }
+}
+
 impl<T> Monitor<T> {
     /// Locks the value. Changes made through the guard wake no waiting thread.
     pub fn lock(&self) -> MutexGuard<'_, T> {
