Bound the memory of runs that wait for a downstream call

Runs that wait for a call counted neither as running nor as calling, and the check of memory was skipped while both were zero, which is just when the store is dead: one more run started after each that reached its call. The check now holds while any run holds memory, in whatever stage; where none does, the queue itself makes room.

--- a/examples/toy/src/machine.rs
+++ b/examples/toy/src/machine.rs
@@ -67,9 +67,12 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunStage {
-    BeforeCall,
-    AtCall,
-    AfterCall,
+    /// Works before its call.
+    First,
+    /// Waits for the reply to its call.
+    Calling,
+    /// Works after its call.
+    Last,
 }
 
 #[derive(Debug)]
@@ -142,7 +145,7 @@
         entry.settled = true;
         match &entry.run {
             None => drop(state.entries.remove(attempt_id)),
-            Some(run) if run.paused || run.stage == RunStage::AtCall => {
+            Some(run) if run.paused || run.stage == RunStage::Calling => {
                 state.end_run(attempt_id, "broken_off", &[]);
             }
             Some(_) => {}
@@ -224,7 +227,7 @@
 
     fn ids_on_cores(&self) -> Vec<String> {
         let on_cores = |entry: &Entry| {
-            entry.run.as_ref().is_some_and(|run| !run.paused && run.stage != RunStage::AtCall)
+            entry.run.as_ref().is_some_and(|run| !run.paused && run.stage != RunStage::Calling)
         };
         self.entries.iter().filter(|(_, entry)| on_cores(entry)).map(|(id, _)| id.clone()).collect()
     }
@@ -237,9 +240,9 @@
             return;
         }
         match run.stage {
-            RunStage::BeforeCall if entry.settled => self.end_run(id, "broken_off", &[]),
-            RunStage::BeforeCall => {
-                run.stage = RunStage::AtCall;
+            RunStage::First if entry.settled => self.end_run(id, "broken_off", &[]),
+            RunStage::First => {
+                run.stage = RunStage::Calling;
                 self.send_notice(json!({"op": "request", "id": id, "body": BASE64_STANDARD.encode("query")}));
             }
             _ => self.end_run(id, "fine", b"result"),
@@ -300,7 +303,7 @@
         };
         if entry.run.is_none() {
             let work_left = entry.request.work / 2.0;
-            entry.run = Some(Run { stage: RunStage::BeforeCall, work_left, paused: false });
+            entry.run = Some(Run { stage: RunStage::First, work_left, paused: false });
         }
     }
 
@@ -308,7 +311,7 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         let settled = entry.settled;
         let Some(run) = &mut entry.run else { return };
-        if run.stage == RunStage::AtCall {
+        if run.stage == RunStage::Calling {
             return;
         }
         run.paused = true;
@@ -320,8 +323,8 @@
     fn resume_after_call(&mut self, id: &str) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         let work_left = entry.request.work / 2.0;
-        if let Some(run) = entry.run.as_mut().filter(|run| run.stage == RunStage::AtCall) {
-            (run.stage, run.work_left) = (RunStage::AfterCall, work_left);
+        if let Some(run) = entry.run.as_mut().filter(|run| run.stage == RunStage::Calling) {
+            (run.stage, run.work_left) = (RunStage::Last, work_left);
         }
     }
 
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -17,6 +17,8 @@
     key_memory: f64,
     run_factor: f64,
     used: f64,
+    /// Number of runs in any stage, those that wait for a call included.
+    runs: usize,
     /// Expiry times of the keys of requests that have started.
     key_expiries: VecDeque<f64>,
 }
@@ -29,6 +31,7 @@
             key_memory: settings.key_memory,
             run_factor: settings.running_memory_factor.max(1.0),
             used: 0.0,
+            runs: 0,
             key_expiries: VecDeque::new(),
         }
     }
@@ -39,6 +42,7 @@
             self.key_expiries.pop_front();
         }
         self.used = self.key_expiries.len() as f64 * self.key_memory;
+        self.runs = 0;
     }
 
     /// Adds a request in flight to the used memory.
@@ -46,7 +50,10 @@
         self.used += match request.stage {
             Stage::Queued => self.queued_memory(request),
             Stage::Replaying => request.input.memory,
-            Stage::Running | Stage::AwaitingCall | Stage::Calling => request.input.memory * self.run_factor,
+            Stage::Running | Stage::AwaitingCall | Stage::Calling => {
+                self.runs += 1;
+                request.input.memory * self.run_factor
+            }
         };
     }
 
@@ -81,9 +88,16 @@
         self.used > MAX_MEMORY_FRACTION * self.capacity
     }
 
-    /// Returns whether a queued request would exceed the memory for runs once it runs.
+    /// Returns whether a queued request would exceed the memory for runs once it runs. While nothing runs, it
+    /// may take what the queue may: no run will end to make room for it.
     pub fn is_too_full_to_run(&self, request: &InFlight) -> bool {
-        self.used + self.run_growth(request) > RUN_START_MEMORY_FRACTION * self.capacity
+        let fraction = if self.has_runs() { RUN_START_MEMORY_FRACTION } else { MAX_MEMORY_FRACTION };
+        self.used + self.run_growth(request) > fraction * self.capacity
+    }
+
+    /// Returns whether a run in any stage holds memory.
+    pub fn has_runs(&self) -> bool {
+        self.runs > 0
     }
 
     /// Returns the additional memory of a queued request once it runs.
@@ -94,6 +108,7 @@
     /// Accounts for a run that starts; its key outlasts the request.
     pub fn start_run(&mut self, request: &InFlight) {
         self.key_expiries.extend(request.key_expires_at);
+        self.runs += 1;
         self.used += self.run_growth(request);
     }
 }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -80,8 +80,13 @@
                 self.reject(index, reason, decisions);
                 continue;
             }
-            if self.memory.is_too_full_to_run(request) && self.running + self.calling > 0 {
-                return;
+            if self.memory.is_too_full_to_run(request) {
+                if self.memory.has_runs() {
+                    return;
+                }
+                // Only the queue itself can make room.
+                self.reject_lowest_priority(Reason::MemoryPressure, decisions);
+                continue;
             }
             self.queue.swap_remove(position);
             self.start_run(now, index, decisions);
@@ -122,10 +127,10 @@
             if !is_over_memory && !is_over_in_flight_limit {
                 break;
             }
-            let priorities = self.queue.iter().map(|&index| (index, self.priority(index)));
-            let Some((index, _)) = priorities.min_by(|a, b| a.1.compare(b.1)) else { break };
             let reason = if is_over_memory { Reason::MemoryPressure } else { Reason::WarmingUp };
-            self.reject(index, reason, decisions);
+            if !self.reject_lowest_priority(reason, decisions) {
+                break;
+            }
             shed_for_warm_up |= !is_over_memory;
         }
         if shed_for_warm_up {
@@ -133,4 +138,14 @@
             self.send_signal(now, 1.0, decisions);
         }
     }
+
+    /// Rejects the queued request of lowest priority. Returns whether there was one.
+    fn reject_lowest_priority(&mut self, reason: Reason, decisions: &mut impl Decisions) -> bool {
+        let priorities = self.queue.iter().map(|&index| (index, self.priority(index)));
+        let lowest = priorities.min_by(|a, b| a.1.compare(b.1));
+        if let Some((index, _)) = lowest {
+            self.reject(index, reason, decisions);
+        }
+        lowest.is_some()
+    }
 }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -307,6 +307,33 @@
     assert_eq!((count(&lines, "reject 4"), count(&lines, "reject")), (1, 1), "{lines:?}");
 }
 
+/// Returns settings of a server with memory for `runs` runs of 10 KB, each four times that, and a dependency
+/// that bears many calls.
+fn settings_with_memory_for(runs: f64) -> PolicySettings {
+    PolicySettings { memory: 40.0 * runs, cores: 8.0, call_concurrency_share: 1e3, ..settings() }
+}
+
+/// Guards against report 96a839: requests started one by one while those before them waited for a dead
+/// dependency, until they filled the memory.
+#[test]
+fn runs_that_wait_for_a_dead_dependency_stay_within_memory() {
+    let mut host = Host::new(&settings_with_memory_for(10.0));
+    let id_after = |line: &str, verb: &str| line.strip_prefix(verb)?.split(' ').next()?.parse::<u32>().ok();
+    let mut position = 0;
+    for id in 1..=200 {
+        host.arrive(&[request(id, 3)]);
+        host.advance(0.04);
+        // Every run reaches its call at once, and no call reaches the dependency.
+        while let Some(line) = host.log.lines.get(position).cloned() {
+            position += 1;
+            id_after(&line, "run ").map(|id| host.reach_call(id));
+            id_after(&line, "call ").map(|id| host.end_call(id, Outcome::Unreachable, 0.0));
+        }
+    }
+    let runs = host.count("run");
+    assert!((4..=10).contains(&runs), "{runs} runs of four times 10 KB hold 400 KB");
+}
+
 #[test]
 fn short_latency_objectives_bound_margin_and_retry_after() {
     let mut quick = settings();
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -379,12 +379,12 @@
         (
             "call share below one",
             PolicySettings { call_concurrency_share: 0.4, tenants: vec![], ..base_settings() },
-            [0x624d_cb81_93aa_c90f, 0x3083_3a28_78d7_fc04, 0x763c_1960_8819_2e38],
+            [0x624d_cb81_93aa_c90f, 0x3083_3a28_78d7_fc04, 0x4840_1e3d_1c34_d8ff],
         ),
         (
             "little memory",
             PolicySettings { memory: 700.0, key_memory: 25.0, ..base_settings() },
-            [0x0e66_9f67_4410_12b1, 0x562f_1166_5d99_d09a, 0xb8ef_93bc_3abd_0b36],
+            [0xe653_2f20_f8a9_d16d, 0xe193_fd29_71c4_b6e6, 0xf372_b976_ec68_9ec9],
         ),
         (
             "no calls, tokens, one core",
