Ignore a call notice for a request that does not run

The agent's notice of a call moved a queued request to the stage of a run, without a run slot, while it stayed in the queue. Before, the test failed: the request was then called for without ever having run.

--- a/src/policy/calls.rs
+++ b/src/policy/calls.rs
@@ -28,10 +28,13 @@
 }
 
 impl AdmissionPolicy {
-    /// Records that a run has reached its downstream call.
+    /// Records that a run has reached its downstream call. Ignores requests that do not run.
     pub(super) fn handle_call_reached(&mut self, now: f64, id: u32) {
         let Some(&index) = self.index_by_id.get(&id) else { return };
         let request = &mut self.requests[index];
+        if request.stage != Stage::Running {
+            return;
+        }
         request.stage = Stage::AwaitingCall;
         request.call_reached_at = now;
         request.failed_calls = 0;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -334,6 +334,15 @@
     assert!((4..=10).contains(&runs), "{runs} runs of four times 10 KB hold 400 KB");
 }
 
+/// Guards against an agent's notice of a call for a request that does not run: it left the queue inconsistent.
+#[test]
+fn call_reached_by_a_queued_request_is_ignored() {
+    let mut host = busy_host(&settings());
+    host.arrive(&[request(3, 0)]);
+    assert_eq!(host.reach_call(3), Vec::<String>::new());
+    assert_eq!(host.finish(1), ["run 3"]);
+}
+
 #[test]
 fn short_latency_objectives_bound_margin_and_retry_after() {
     let mut quick = settings();
