--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -100,6 +100,11 @@
         self.runs > 0
     }
 
+    /// Returns the number of runs in any stage.
+    pub fn runs(&self) -> usize {
+        self.runs
+    }
+
     /// Returns the additional memory of a queued request once it runs.
     fn run_growth(&self, request: &InFlight) -> f64 {
         request.input.memory * (self.run_factor - 1.0)
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -71,7 +71,11 @@
     /// Fills free run slots with the requests of highest priority that pass their wait threshold check.
     pub(super) fn start_runs(&mut self, now: f64, decisions: &mut impl Decisions) {
         let slots = self.concurrency_limit.slots(self.warm_up.sustainable_concurrency(now));
-        while self.running < slots && self.concurrency_headroom(now) > 0.0 {
+        let max_runs = self.warm_up.in_flight_limit(now).floor();
+        while self.running < slots
+            && self.concurrency_headroom(now) > 0.0
+            && (self.memory.runs() as f64) < max_runs
+        {
             let priorities = self.queue.iter().map(|index| self.priority(*index)).enumerate();
             let Some((position, _)) = priorities.rev().max_by(|a, b| a.1.compare(b.1)) else { return };
             let index = self.queue[position];
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -170,6 +170,23 @@
     assert_eq!(count(&host.advance(0.5), "reject"), 0);
 }
 
+/// Guards against report 96a839: on a cold server, runs that waited for a dead dependency did not count as in
+/// flight.
+#[test]
+fn cold_server_counts_runs_that_wait_for_a_call() {
+    let (settings, in_flight_limit) = cold_server(LoadSignal::Tokens);
+    let mut host = Host::new(&PolicySettings { call_concurrency_share: 0.0, ..settings });
+    for id in 1..=80 {
+        host.arrive(&[request(id, 3)]);
+        if host.count(&format!("run {id}")) == 1 {
+            host.reach_call(id);
+        }
+        host.advance(0.02);
+    }
+    let in_flight = 80 - host.count("reject");
+    assert!(in_flight as f64 <= in_flight_limit, "{in_flight} in flight, limit {in_flight_limit:.1}");
+}
+
 #[test]
 fn cold_server_signals_add_up_to_its_in_flight_limit() {
     for (signal, most) in
