Keep memory free for what arrives while the process stands still

Runs started up to 0.85 of the memory whatever arrived meanwhile, and waiting runs and waiting retries were never shed. Now the memory of 0.7 s of arrivals stays free, at most half; if arrivals grow, waiting runs are failed, lowest priority first, and retries that wait once the queue is empty.

--- a/crates/server/tests/overload.rs
+++ b/crates/server/tests/overload.rs
@@ -51,7 +51,7 @@
     machine: Machine,
     store: FaultyStore,
     load: LoadGenerator,
-    _harness: ServerHarness,
+    harness: ServerHarness,
 }
 
 impl Trial {
@@ -70,7 +70,7 @@
         });
         harness.wait_for_log("agent: connected");
         let load = LoadGenerator::start(harness.address, &machine, load);
-        Trial { machine, store, load, _harness: harness }
+        Trial { machine, store, load, harness }
     }
 
     /// Runs the load for `time`, then checks that the machine has not fallen over.
@@ -104,3 +104,17 @@
     trial.store.set(StoreState::Refusing);
     trial.run("store refuses connections", FAULT_TIME);
 }
+
+/// Guards against a process that stands still for moments while waiting runs leave no memory for what arrives then.
+#[test]
+fn machine_survives_standstills_of_the_process_beside_a_dead_store() {
+    let trial = Trial::start(warm_machine(), overload(3));
+    trial.run("quiet", QUIET_TIME);
+    trial.store.set(StoreState::Refusing);
+    for _ in 0..6 {
+        trial.harness.pause();
+        thread::sleep(Duration::from_millis(300));
+        trial.harness.resume();
+        trial.run("store refuses connections, after a standstill", Duration::from_secs(1));
+    }
+}
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -1,7 +1,7 @@
 //! Deadlines: answers requests that have left the queue before their deadline. Queued ones are rejected in
 //! `queue`.
 
-use super::in_flight::Stage;
+use super::in_flight::{InFlight, Stage};
 use super::state::AdmissionPolicy;
 use super::timing::DEADLINE_MARGIN_S;
 use crate::{Decisions, Reason};
@@ -34,4 +34,34 @@
             self.remove(index, decisions);
         }
     }
+
+    /// Fails waiting requests, lowest priority first, while they take memory that arrivals need: runs that wait
+    /// for a call, and retries that wait for the result of an earlier attempt if the memory runs out.
+    pub(super) fn shed_waiting_requests(&mut self, decisions: &mut impl Decisions) {
+        loop {
+            let includes_retries = self.memory.is_nearly_exhausted();
+            if !includes_retries && !self.memory.do_runs_exceed_limit() {
+                return;
+            }
+            let waits = |request: &InFlight| match request.stage {
+                Stage::AwaitingCall => !request.answered,
+                Stage::Replaying => includes_retries,
+                _ => false,
+            };
+            let waiting = self.requests.iter().filter(|(_, request)| waits(request));
+            let priorities = waiting.map(|(index, _)| (index, self.priority(index)));
+            let Some((index, _)) = priorities.min_by(|a, b| a.1.compare(b.1)) else { return };
+            self.memory.expect_end(&self.requests[index]);
+            self.fail_waiting(index, Reason::MemoryPressure, decisions);
+        }
+    }
+
+    fn fail_waiting(&mut self, index: usize, reason: Reason, decisions: &mut impl Decisions) {
+        let request = &mut self.requests[index];
+        decisions.fail(request.input.id, reason);
+        request.answered = true;
+        if request.stage == Stage::Replaying {
+            self.remove(index, decisions);
+        }
+    }
 }
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -1,13 +1,18 @@
 //! Memory budget for running and queued requests and remembered idempotency keys.
 
 use super::in_flight::{InFlight, Stage};
+use super::timing::RATE_TIME_CONSTANT_S;
 use crate::PolicySettings;
 use std::collections::VecDeque;
 
-/// Fraction of the memory up to which runs start; the rest is for arrivals.
-const RUN_START_MEMORY_FRACTION: f64 = 0.85;
 /// Fraction of the memory above which the queue is shed; a batch of arrivals still fits above it.
-const MAX_MEMORY_FRACTION: f64 = 0.92;
+const MAX_QUEUE_MEMORY_FRACTION: f64 = 0.92;
+/// Fraction of the memory that is left to the queue when no more runs start.
+const QUEUE_MEMORY_FRACTION: f64 = 0.07;
+/// Time for which arrivals find memory while the process stands still, in seconds.
+const ARRIVAL_RESERVE_S: f64 = 0.7;
+/// Largest fraction of the memory without keys that is reserved for arrivals.
+const MAX_ARRIVAL_RESERVE_FRACTION: f64 = 0.5;
 /// Fraction of the memory that idempotency keys may use.
 const MAX_KEY_MEMORY_FRACTION: f64 = 0.7;
 
@@ -17,8 +22,16 @@
     key_memory: f64,
     run_factor: f64,
     used: f64,
+    /// Part of `used` that belongs to runs that wait for a call and were answered, so that they end.
+    ending: f64,
+    /// Part of `used` that belongs to runs.
+    used_by_runs: f64,
     /// Number of runs in any stage, those that wait for a call included.
     runs: usize,
+    /// Memory of the arrivals since the last control step.
+    arrived: f64,
+    /// Moving average of the memory of arrivals, in kilobytes per second.
+    arrival_rate: f64,
     /// Expiry times of the keys of requests that have started.
     key_expiries: VecDeque<f64>,
 }
@@ -31,7 +44,11 @@
             key_memory: settings.key_memory,
             run_factor: settings.running_memory_factor.max(1.0),
             used: 0.0,
+            ending: 0.0,
+            used_by_runs: 0.0,
             runs: 0,
+            arrived: 0.0,
+            arrival_rate: 0.0,
             key_expiries: VecDeque::new(),
         }
     }
@@ -41,8 +58,8 @@
         while self.key_expiries.front().is_some_and(|&end| end < now) {
             self.key_expiries.pop_front();
         }
-        self.used = self.key_expiries.len() as f64 * self.key_memory;
-        self.runs = 0;
+        self.used = self.remembered_keys();
+        (self.ending, self.used_by_runs, self.runs) = (0.0, 0.0, 0);
     }
 
     /// Adds a request in flight to the used memory.
@@ -52,11 +69,40 @@
             Stage::Replaying => request.input.memory,
             Stage::Running | Stage::AwaitingCall | Stage::Calling => {
                 self.runs += 1;
-                request.input.memory * self.run_factor
+                let memory = request.input.memory * self.run_factor;
+                self.used_by_runs += memory;
+                if request.stage == Stage::AwaitingCall && request.answered {
+                    self.ending += memory;
+                }
+                memory
             }
         };
     }
 
+    /// Returns the memory of the remembered keys of requests that have started.
+    fn remembered_keys(&self) -> f64 {
+        self.key_expiries.len() as f64 * self.key_memory
+    }
+
+    /// Updates the arrival rate at a control step, in which older arrivals decay by `decay`.
+    pub fn update_arrival_rate(&mut self, decay: f64) {
+        self.arrival_rate = self.arrival_rate * decay + self.arrived / RATE_TIME_CONSTANT_S;
+        self.arrived = 0.0;
+    }
+
+    /// Returns the memory above which the queue is shed. Arrivals of `ARRIVAL_RESERVE_S` find room above it.
+    fn queue_limit(&self) -> f64 {
+        let without_keys = self.capacity - self.remembered_keys();
+        let reserve =
+            (ARRIVAL_RESERVE_S * self.arrival_rate).min(MAX_ARRIVAL_RESERVE_FRACTION * without_keys);
+        (MAX_QUEUE_MEMORY_FRACTION * self.capacity).min(self.capacity - reserve)
+    }
+
+    /// Returns the memory up to which runs start.
+    fn run_start_limit(&self) -> f64 {
+        self.queue_limit() - QUEUE_MEMORY_FRACTION * self.capacity
+    }
+
     fn queued_memory(&self, request: &InFlight) -> f64 {
         request.input.memory + if request.key_expires_at.is_some() { self.key_memory } else { 0.0 }
     }
@@ -64,6 +110,7 @@
     /// Adds the memory of an arrived request.
     pub fn add(&mut self, memory: f64) {
         self.used += memory;
+        self.arrived += memory;
     }
 
     /// Adds the memory of one key.
@@ -79,20 +126,38 @@
     /// Returns whether one more key fits.
     pub fn has_room_for_key(&self) -> bool {
         let key_memory_used = (self.key_expiries.len() + 1) as f64 * self.key_memory;
-        self.used + self.key_memory <= MAX_MEMORY_FRACTION * self.capacity
+        self.used + self.key_memory <= MAX_QUEUE_MEMORY_FRACTION * self.capacity
             && key_memory_used <= MAX_KEY_MEMORY_FRACTION * self.capacity
     }
 
     /// Returns whether the queue must be shed.
     pub fn is_over(&self) -> bool {
-        self.used > MAX_MEMORY_FRACTION * self.capacity
+        self.used > self.queue_limit()
+    }
+
+    /// Returns whether the memory runs out, beyond what will be free once answered runs have ended.
+    pub fn is_nearly_exhausted(&self) -> bool {
+        self.used - self.ending > MAX_QUEUE_MEMORY_FRACTION * self.capacity
+    }
+
+    /// Returns whether runs hold more memory than they may since arrivals need more of it.
+    pub fn do_runs_exceed_limit(&self) -> bool {
+        self.used_by_runs - self.ending > self.run_start_limit()
+    }
+
+    /// Accounts for an answered request that holds no memory any more, or will not once its run has ended.
+    pub fn expect_end(&mut self, request: &InFlight) {
+        match request.stage {
+            Stage::AwaitingCall => self.ending += request.input.memory * self.run_factor,
+            _ => self.used -= request.input.memory,
+        }
     }
 
     /// Returns whether a queued request would exceed the memory for runs once it runs. While nothing runs, it
     /// may take what the queue may: no run will end to make room for it.
     pub fn is_too_full_to_run(&self, request: &InFlight) -> bool {
-        let fraction = if self.has_runs() { RUN_START_MEMORY_FRACTION } else { MAX_MEMORY_FRACTION };
-        self.used + self.run_growth(request) > fraction * self.capacity
+        let limit = if self.has_runs() { self.run_start_limit() } else { self.queue_limit() };
+        self.used + self.run_growth(request) > limit
     }
 
     /// Returns whether a run in any stage holds memory.
@@ -114,6 +179,7 @@
     pub fn start_run(&mut self, request: &InFlight) {
         self.key_expiries.extend(request.key_expires_at);
         self.runs += 1;
+        self.used_by_runs += request.input.memory * self.run_factor;
         self.used += self.run_growth(request);
     }
 }
--- a/src/policy/rounds.rs
+++ b/src/policy/rounds.rs
@@ -130,12 +130,14 @@
         self.handle_due_requests(now, decisions);
         self.reject_overdue(now, decisions);
         self.shed_queue(now, decisions);
+        self.shed_waiting_requests(decisions);
         if now - self.last_control_step < CONTROL_INTERVAL_S {
             return;
         }
         let decay = (-(now - self.last_control_step) / RATE_TIME_CONSTANT_S).exp();
         self.last_control_step = now;
         self.completion_rate *= decay;
+        self.memory.update_arrival_rate(decay);
         self.classes.iter_mut().for_each(|class| class.decay_stale_run_time(now, decay));
         let run_time_ratio = self.slowdown.finished_run_ratio();
         self.concurrency_limit.step(gauges, self.running, self.queue.is_empty(), run_time_ratio);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -330,27 +330,68 @@
     PolicySettings { memory: 40.0 * runs, cores: 8.0, call_concurrency_share: 1e3, ..settings() }
 }
 
+/// Lets every run reach its call at once, and every call end without having reached the dependency. Goes through
+/// the decisions from `position` on.
+fn refuse_calls(host: &mut Host, position: &mut usize) {
+    let id_after = |line: &str, verb: &str| line.strip_prefix(verb)?.split(' ').next()?.parse::<u32>().ok();
+    while let Some(line) = host.log.lines.get(*position).cloned() {
+        *position += 1;
+        id_after(&line, "run ").map(|id| host.reach_call(id));
+        id_after(&line, "call ").map(|id| host.end_call(id, Outcome::Unreachable, 0.0));
+    }
+}
+
 /// Guards against report 96a839: requests started one by one while those before them waited for a dead
 /// dependency, until they filled the memory.
 #[test]
 fn runs_that_wait_for_a_dead_dependency_stay_within_memory() {
     let mut host = Host::new(&settings_with_memory_for(10.0));
-    let id_after = |line: &str, verb: &str| line.strip_prefix(verb)?.split(' ').next()?.parse::<u32>().ok();
     let mut position = 0;
     for id in 1..=200 {
         host.arrive(&[request(id, 3)]);
         host.advance(0.04);
-        // Every run reaches its call at once, and no call reaches the dependency.
-        while let Some(line) = host.log.lines.get(position).cloned() {
-            position += 1;
-            id_after(&line, "run ").map(|id| host.reach_call(id));
-            id_after(&line, "call ").map(|id| host.end_call(id, Outcome::Unreachable, 0.0));
-        }
+        refuse_calls(&mut host, &mut position);
     }
     let runs = host.count("run");
     assert!((4..=10).contains(&runs), "{runs} runs of four times 10 KB hold 400 KB");
 }
 
+/// Guards against a standstill of the process beside a dead dependency: waiting runs left no memory for what
+/// arrived meanwhile.
+#[test]
+fn waiting_runs_leave_memory_for_arrivals_during_a_standstill() {
+    let mut host = Host::new(&settings_with_memory_for(100.0));
+    let mut position = 0;
+    for id in 1..=1200 {
+        host.arrive(&[request(id, 3)]);
+        if id % 4 == 0 {
+            host.advance(0.02);
+        }
+        refuse_calls(&mut host, &mut position);
+    }
+    let open_runs = host.count("run") - host.count("fail");
+    let (memory, arrivals_per_second) = (4_000.0, 200.0 * 10.0);
+    let held = 40.0 * open_runs as f64;
+    assert!(open_runs > 0 && held + 0.7 * arrivals_per_second <= memory, "{open_runs} runs hold {held} KB");
+}
+
+/// Guards against retries of one request that filled the memory while they waited for the first attempt.
+#[test]
+fn waiting_retries_are_failed_when_memory_runs_out() {
+    let mut host = Host::new(&settings_with_memory_for(10.0));
+    host.arrive(&[request(1, 2)]);
+    for id in 2..=60 {
+        host.arrive(&[Request { earlier_attempt: 1, is_retry: true, ..request(id, 2) }]);
+        host.advance(0.02);
+    }
+    let waiting = 59 - host.count("fail");
+    assert!(
+        waiting > 20 && 40 + 10 * waiting <= 400,
+        "{waiting} retries of 10 KB wait beside a run of 40 KB"
+    );
+    assert_eq!((host.count("fail 1 "), host.count("reject")), (0, 0));
+}
+
 /// Guards against an agent's notice of a call for a request that does not run: it left the queue inconsistent.
 #[test]
 fn call_reached_by_a_queued_request_is_ignored() {
