Use the memory gauge: the machine may hold more than the policy counts

Requests that are unread, and answers that a gateway does not read, are booked by the machine and unknown to the policy, and the gauge that shows them was read and used by nothing. The test starts a run beside a machine whose gauge says 0.9. The least of five readings counts beyond what the policy knows, none older than a second.

--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -13,6 +13,10 @@
 const ARRIVAL_RESERVE_S: f64 = 0.7;
 /// Largest fraction of the memory without keys that is reserved for arrivals.
 const MAX_ARRIVAL_RESERVE_FRACTION: f64 = 0.5;
+/// Number of gauge readings of which the least counts; a single one may be older than the last round.
+const GAUGE_READINGS: usize = 5;
+/// Age at which gauge readings no longer count, in seconds.
+const MAX_GAUGE_AGE_S: f64 = 1.0;
 /// Fraction of the memory that idempotency keys may use.
 const MAX_KEY_MEMORY_FRACTION: f64 = 0.7;
 
@@ -32,6 +36,11 @@
     arrived: f64,
     /// Moving average of the memory of arrivals, in kilobytes per second.
     arrival_rate: f64,
+    /// Memory by the latest gauge readings beyond `used`: requests that are unread, or whose answers are.
+    unaccounted: [f64; GAUGE_READINGS],
+    next_reading: usize,
+    /// When the gauge was last read.
+    gauge_read_at: f64,
     /// Expiry times of the keys of requests that have started.
     key_expiries: VecDeque<f64>,
 }
@@ -49,6 +58,9 @@
             runs: 0,
             arrived: 0.0,
             arrival_rate: 0.0,
+            unaccounted: [0.0; GAUGE_READINGS],
+            next_reading: 0,
+            gauge_read_at: 0.0,
             key_expiries: VecDeque::new(),
         }
     }
@@ -58,6 +70,9 @@
         while self.key_expiries.front().is_some_and(|&end| end < now) {
             self.key_expiries.pop_front();
         }
+        if now - self.gauge_read_at > MAX_GAUGE_AGE_S {
+            self.unaccounted = [0.0; GAUGE_READINGS];
+        }
         self.used = self.remembered_keys();
         (self.ending, self.used_by_runs, self.runs) = (0.0, 0.0, 0);
     }
@@ -84,6 +99,24 @@
         self.key_expiries.len() as f64 * self.key_memory
     }
 
+    /// Compares the gauge, a fraction of the memory, with the memory counted in this round.
+    pub fn read_gauge(&mut self, now: f64, fraction_in_use: f64) {
+        let unaccounted = (fraction_in_use * self.capacity - self.used).max(0.0);
+        self.unaccounted[self.next_reading] = unaccounted;
+        self.gauge_read_at = now;
+        self.next_reading = (self.next_reading + 1) % GAUGE_READINGS;
+    }
+
+    /// Returns the memory in use that is not counted in `used`.
+    fn unaccounted(&self) -> f64 {
+        self.unaccounted.iter().copied().fold(f64::MAX, f64::min)
+    }
+
+    /// Returns the memory in use.
+    fn in_use(&self) -> f64 {
+        self.used + self.unaccounted()
+    }
+
     /// Updates the arrival rate at a control step, in which older arrivals decay by `decay`.
     pub fn update_arrival_rate(&mut self, decay: f64) {
         self.arrival_rate = self.arrival_rate * decay + self.arrived / RATE_TIME_CONSTANT_S;
@@ -132,17 +165,17 @@
 
     /// Returns whether the queue must be shed.
     pub fn is_over(&self) -> bool {
-        self.used > self.queue_limit()
+        self.in_use() > self.queue_limit()
     }
 
     /// Returns whether the memory runs out, beyond what will be free once answered runs have ended.
     pub fn is_nearly_exhausted(&self) -> bool {
-        self.used - self.ending > MAX_QUEUE_MEMORY_FRACTION * self.capacity
+        self.in_use() - self.ending > MAX_QUEUE_MEMORY_FRACTION * self.capacity
     }
 
     /// Returns whether runs hold more memory than they may since arrivals need more of it.
     pub fn do_runs_exceed_limit(&self) -> bool {
-        self.used_by_runs - self.ending > self.run_start_limit()
+        self.used_by_runs + self.unaccounted() - self.ending > self.run_start_limit()
     }
 
     /// Accounts for an answered request that holds no memory any more, or will not once its run has ended.
@@ -157,7 +190,7 @@
     /// may take what the queue may: no run will end to make room for it.
     pub fn is_too_full_to_run(&self, request: &InFlight) -> bool {
         let limit = if self.has_runs() { self.run_start_limit() } else { self.queue_limit() };
-        self.used + self.run_growth(request) > limit
+        self.in_use() + self.run_growth(request) > limit
     }
 
     /// Returns whether a run in any stage holds memory.
--- a/src/policy/rounds.rs
+++ b/src/policy/rounds.rs
@@ -29,6 +29,9 @@
             self.begin_drain(now, kill_at, decisions);
         }
         self.update_usage(now);
+        if let Some(fraction) = round.tick.and_then(|gauges| gauges.memory) {
+            self.memory.read_gauge(now, fraction);
+        }
         round.arrivals.iter().for_each(|request| self.handle_arrival(now, request, decisions));
         if let Some(gauges) = round.tick {
             self.tick(now, &gauges, decisions);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -392,6 +392,30 @@
     assert_eq!((host.count("fail 1 "), host.count("reject")), (0, 0));
 }
 
+/// Guards against memory that only the machine sees, such as that of answers that a gateway does not read.
+#[test]
+fn memory_by_the_gauge_bounds_runs() {
+    let mut host = Host::new(&settings());
+    host.arrive(&[request(1, 0)]);
+    host.gauges.memory = Some(0.9);
+    host.advance(0.2);
+    assert_eq!(host.arrive(&[request(2, 0)]), Vec::<String>::new());
+    host.gauges.memory = Some(0.1);
+    assert_eq!(count(&host.advance(0.2), "run 2"), 1);
+}
+
+/// Guards against a gauge that is no longer read and would hold runs back for good.
+#[test]
+fn old_gauge_readings_do_not_bound_runs() {
+    let mut host = Host::new(&settings());
+    host.arrive(&[request(1, 0)]);
+    host.gauges.memory = Some(0.9);
+    host.advance(0.2);
+    host.gauges.memory = None;
+    host.arrive(&[request(2, 0)]);
+    assert_eq!((count(&host.advance(0.5), "run 2"), count(&host.advance(0.7), "run 2")), (0, 1));
+}
+
 /// Guards against an agent's notice of a call for a request that does not run: it left the queue inconsistent.
 #[test]
 fn call_reached_by_a_queued_request_is_ignored() {
