Measure spans of the server with the monotonic clock

The clock corrected steps of the wall clock back only, and the time that a request was unread was the wall clock's difference to the gateway's stamp. A step ahead by an hour rejected a retry of a request that had run (503 where the test wants the replayed 200), ended a drain and the process at once, and closed connections as idle; its forgotten keys would let a retry run twice. Time is now that of the process's start plus monotonic time. The age of a stamp is the least by either clock, since the other machine may have made the step too or not. A shim that is preloaded into the process steps its clock; three of its tests failed before. The unit test of the old correction goes with it; the process tests make its step (an hour back) for real. A fourth test fails system calls, one in six; it passed before as well.

--- a/crates/server/src/dispatcher/rounds.rs
+++ b/crates/server/src/dispatcher/rounds.rs
@@ -2,7 +2,6 @@
 
 use super::decisions::{mark_answered, DecisionHandler};
 use super::published::PublishedState;
-use crate::runtime::clock;
 use crate::state::idempotency::{IdempotencyKeys, KeyLookup};
 use crate::state::in_flight::InFlightRequests;
 use crate::state::mailbox::{Event, Mailbox};
@@ -49,8 +48,8 @@
     pub(super) keys: IdempotencyKeys,
     /// Input since the last round.
     pub(super) input: RoundInput,
-    /// Unix time at which each request in `input.arrivals` reached the machine, s.
-    arrival_timestamps: Vec<f64>,
+    /// Time at which each request in `input.arrivals` reached the machine, s.
+    arrival_times: Vec<f64>,
     pub(super) has_input: bool,
     /// Time of the next tick that the policy requested, s.
     pub(super) tick_at: f64,
@@ -78,7 +77,7 @@
             in_flight: InFlightRequests::default(),
             keys,
             input: RoundInput::default(),
-            arrival_timestamps: Vec::new(),
+            arrival_times: Vec::new(),
             has_input: false,
             tick_at: f64::MAX,
             gauge_poll: GaugePoll::default(),
@@ -110,7 +109,7 @@
             }
         };
         self.input.arrivals.push(Request { id, earlier_attempt, ..received.request });
-        self.arrival_timestamps.push(received.timestamp);
+        self.arrival_times.push(arrived);
         self.has_input = true;
         SubmitOutcome::Accepted(id)
     }
@@ -204,9 +203,9 @@
         published: &PublishedState,
         log: &RequestLog,
     ) {
-        let Rounds { policy, in_flight, keys, input, arrival_timestamps, tick_at, keepalive, .. } = self;
-        for (request, timestamp) in input.arrivals.iter_mut().zip(arrival_timestamps.drain(..)) {
-            request.time_unread = clock::seconds_since(timestamp);
+        let Rounds { policy, in_flight, keys, input, arrival_times, tick_at, keepalive, .. } = self;
+        for (request, arrived) in input.arrivals.iter_mut().zip(arrival_times.drain(..)) {
+            request.time_unread = (now - arrived).max(0.0);
         }
         input.tick = tick;
         let mut handler = DecisionHandler { published, log, in_flight, keys, now, tick_at, keepalive };
--- a/crates/server/src/runtime/clock.rs
+++ b/crates/server/src/runtime/clock.rs
@@ -1,43 +1,49 @@
-//! Monotonic Unix time.
+//! Monotonic time of the process on the scale of Unix time, and the age of timestamps of other machines.
 
-use super::lock::lock;
-use std::sync::Mutex;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::LazyLock;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Returns the system's Unix time in seconds, for comparison with timestamps of other machines and for trace records.
-pub fn unix_now() -> f64 {
+/// Readings of the monotonic clock and the wall clock at the same moment.
+struct Anchor {
+    monotonic: Instant,
+    unix: f64,
+}
+
+/// Readings at the first use of the clock.
+static ANCHOR: LazyLock<Anchor> = LazyLock::new(|| Anchor { monotonic: Instant::now(), unix: wall_clock() });
+
+/// Returns the system's Unix time in seconds, which can be stepped.
+fn wall_clock() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
 }
 
-/// Returns the seconds elapsed since a Unix timestamp, 0 if it is in the future.
-pub fn seconds_since(timestamp: f64) -> f64 {
-    (unix_now() - timestamp).max(0.0)
+/// Returns the Unix time of the start of the process in seconds, plus the real time since then. A step of the system's
+/// clock does not change it.
+pub fn unix_now() -> f64 {
+    ANCHOR.unix + ANCHOR.monotonic.elapsed().as_secs_f64()
 }
 
-/// Unix clock that never goes backwards: when the system clock is set back, it continues from its last reading.
-#[derive(Default)]
-pub struct Clock {
-    state: Mutex<ClockState>,
+/// Returns the seconds elapsed since a Unix timestamp, 0 if it is in the future. After a step of this machine's clock, other
+/// machines may have made the step too or not.
+pub fn seconds_since(timestamp: f64) -> f64 {
+    least_age(timestamp, unix_now(), wall_clock())
 }
 
-#[derive(Default)]
-struct ClockState {
-    last_reading: f64,
-    /// Sum of all backward steps of the system clock, s.
-    correction: f64,
+/// Returns the age of a timestamp by the clock under which it is the least, among those that it is not ahead of.
+fn least_age(timestamp: f64, monotonic: f64, wall: f64) -> f64 {
+    let ages = [monotonic - timestamp, wall - timestamp];
+    let least = ages.into_iter().filter(|age| *age >= 0.0).reduce(f64::min);
+    least.unwrap_or(0.0)
 }
 
+/// Clock of the process. All instances agree.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock;
+
 impl Clock {
+    /// Returns the time in seconds; see [`unix_now`].
     pub fn now(&self) -> f64 {
-        self.monotonic(unix_now())
-    }
-
-    /// Converts a reading of the system clock to monotonic time.
-    fn monotonic(&self, unix: f64) -> f64 {
-        let mut state = lock(&self.state);
-        state.correction += (state.last_reading - (unix + state.correction)).max(0.0);
-        state.last_reading = unix + state.correction;
-        state.last_reading
+        unix_now()
     }
 }
 
--- a/crates/server/src/runtime/clock/tests.rs
+++ b/crates/server/src/runtime/clock/tests.rs
@@ -1,10 +1,19 @@
 use super::*;
 
 #[test]
-fn continues_from_last_reading_when_system_clock_steps_back() {
-    let clock = Clock::default();
-    assert_eq!(clock.monotonic(10_000.0), 10_000.0);
-    assert_eq!(clock.monotonic(6_400.0), 10_000.0);
-    assert_eq!(clock.monotonic(6_400.5), 10_000.5);
-    assert_eq!(clock.monotonic(6_500.5), 10_100.5);
+fn never_goes_back() {
+    let readings: Vec<f64> = (0..1000).map(|_| Clock.now()).collect();
+    assert!(readings.is_sorted());
+}
+
+/// Guards against a step of the wall clock that made requests an hour old, or fresh for an hour.
+#[test]
+fn age_of_a_timestamp_survives_steps_of_either_clock() {
+    let now = 10_000.0;
+    for step in [-3600.0, -5.0, 0.0, 5.0, 3600.0] {
+        let wall = now + step;
+        assert_eq!(least_age(now - 0.5, now, wall), 0.5, "this machine stepped by {step} s");
+        assert_eq!(least_age(wall - 0.5, now, wall), 0.5, "all machines stepped by {step} s");
+    }
+    assert_eq!(least_age(now + 1.0, now, now), 0.0);
 }
--- /dev/null
+++ b/crates/server/tests/system_faults.rs
@@ -0,0 +1,104 @@
+//! A server process whose wall clock is stepped and whose system calls fail.
+
+use puffinladder_toy::gateway::Gateway;
+use puffinladder_toy::harness::ServerHarness;
+use puffinladder_toy::shim::{Shim, SystemFaults};
+use std::path::Path;
+
+const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
+const KEY: &str = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+const HOUR_MS: i64 = 3_600_000;
+
+/// Starts a server with the library for faults.
+fn start_server() -> (ServerHarness, Shim) {
+    start_program(&[SERVER])
+}
+
+fn start_program(program: &[&str]) -> (ServerHarness, Shim) {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shim/system_faults.c");
+    let shim = Shim::compile(&source, Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let command_line = shim.command_line(program);
+    let program: Vec<&str> = command_line.iter().map(String::as_str).collect();
+    (ServerHarness::start(&program, |_| {}), shim)
+}
+
+fn step_clock(shim: &Shim, clock_step_ms: i64) {
+    shim.set(SystemFaults { clock_step_ms, ..SystemFaults::default() });
+}
+
+fn call_status(gateway: &mut Gateway, class: &str, extra_fields: &str, body: &[u8]) -> String {
+    let (tag, _) = gateway.call(class, extra_fields, body);
+    let response = gateway.read_response().expect("the server answers the request");
+    assert_eq!(response.tag, tag);
+    response.status
+}
+
+/// Guards against a step of the wall clock after which a retry within its window runs a second time.
+#[test]
+fn retry_after_a_clock_step_does_not_run_again() {
+    for step in [HOUR_MS, -HOUR_MS] {
+        let (harness, shim) = start_server();
+        let mut gateway = harness.connect_gateway();
+        assert_eq!(call_status(&mut gateway, "order", KEY, b"an order"), "200");
+        step_clock(&shim, step);
+        // Housekeeping, which forgets expired keys, follows within a few polls of the agent.
+        harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + 20);
+        let retry = format!("{KEY},r=1");
+        let status = call_status(&mut harness.connect_gateway(), "order", &retry, b"an order");
+        assert_eq!(status, "200", "step of {step} ms");
+        assert_eq!(harness.agent.command_count("launch", ""), 1, "step of {step} ms");
+    }
+}
+
+/// Guards against a step of the wall clock that ends the deadlines of open requests, or rejects all new ones as old.
+#[test]
+fn requests_are_served_across_clock_steps() {
+    let (harness, shim) = start_server();
+    let (mut first, mut second) = (harness.connect_gateway(), harness.connect_gateway());
+    let (tag, attempt_id) = first.call("quote", "", b"hold");
+    harness.agent.wait_for_command("launch", &attempt_id);
+    for step in [HOUR_MS, -HOUR_MS, 7_000, -7_000, 0] {
+        step_clock(&shim, step);
+        harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + 5);
+        assert_eq!(call_status(&mut second, "quote", "", b"quick"), "200", "step of {step} ms");
+        assert_eq!(call_status(&mut second, "quote", "", b"call text"), "200", "step of {step} ms");
+    }
+    harness.agent.finish_run(&attempt_id);
+    let response = first.read_response().expect("the server answers the request");
+    assert_eq!((response.tag, response.status.as_str()), (tag, "200"));
+}
+
+/// Guards against a step of the wall clock that ends a drain, and the process, before its time.
+#[test]
+fn drain_takes_its_time_across_a_clock_step() {
+    let (harness, shim) = start_server();
+    let mut gateway = harness.connect_gateway();
+    let (tag, attempt_id) = gateway.call("quote", "", b"hold");
+    harness.agent.wait_for_command("launch", &attempt_id);
+    harness.send_sigterm();
+    harness.wait_for_log("shutting down");
+    step_clock(&shim, HOUR_MS);
+    harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + 5);
+    harness.agent.finish_run(&attempt_id);
+    let response = gateway.read_response().expect("the server answers the request");
+    assert_eq!((response.tag, response.status.as_str()), (tag, "200"));
+}
+
+/// Guards against system calls that fail for a moment or do less than asked: every request gets its answer.
+#[test]
+fn requests_are_answered_while_system_calls_fail() {
+    let (harness, shim) = start_server();
+    for seed in 1..=3 {
+        println!("seed {seed}");
+        shim.set(SystemFaults { fail_one_in: 6, seed, ..SystemFaults::default() });
+        for _ in 0..5 {
+            let mut gateway = harness.connect_gateway();
+            let body = vec![b'x'; 1500];
+            for _ in 0..10 {
+                assert_eq!(call_status(&mut gateway, "quote", "", &body), "200", "seed {seed}");
+                let status = call_status(&mut gateway, "quote", "", b"call text");
+                assert_eq!(status, "200", "seed {seed}");
+            }
+        }
+    }
+}
--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod machine;
 pub mod shared_store;
+pub mod shim;
 
 use std::fmt::Debug;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
