Trace recorder: write blocks on time when the wall clock is stepped back

A record that waited for its block when the clock went back by an hour was written, with all after it, an hour later: the age of the block came from the wall clock.

--- a/crates/server/tests/system_faults.rs
+++ b/crates/server/tests/system_faults.rs
@@ -3,7 +3,10 @@
 use puffinladder_toy::gateway::Gateway;
 use puffinladder_toy::harness::ServerHarness;
 use puffinladder_toy::shim::{Shim, SystemFaults};
+use puffinladder_toy::WAIT_TIMEOUT;
 use std::path::Path;
+use std::thread;
+use std::time::Instant;
 
 const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
 const KEY: &str = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
@@ -84,6 +87,41 @@
     assert_eq!((response.tag, response.status.as_str()), (tag, "200"));
 }
 
+/// Guards against a step of the wall clock back, after which the trace was not written until the clock had caught up.
+#[test]
+fn trace_is_written_after_a_clock_step_back() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be made");
+    let (traces, settings) = (folder.path().join("traces"), folder.path().join("settings.scm"));
+    let text = format!("(trace (folder \"{}\") (block-span 1s))", traces.display());
+    std::fs::write(&settings, text).expect("the settings can be written");
+    let (harness, shim) =
+        start_program(&["env", &format!("PUFFINLADDER_SETTINGS={}", settings.display()), SERVER]);
+    let mut gateway = harness.connect_gateway();
+    let written = || -> u64 {
+        let files = std::fs::read_dir(&traces).into_iter().flatten().flatten();
+        files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len()).sum()
+    };
+    let wait_for_polls =
+        |count| harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + count);
+    let await_growth = |before: u64| {
+        let started_at = Instant::now();
+        while written() <= before {
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "nothing written within {WAIT_TIMEOUT:?}");
+            thread::yield_now();
+        }
+    };
+    assert_eq!(call_status(&mut gateway, "quote", "", b"a first request"), "200");
+    await_growth(0);
+    // The file's head comes first, then its first block.
+    wait_for_polls(10);
+    // This record waits for its block to be written when the clock steps.
+    let before = written();
+    assert_eq!(call_status(&mut gateway, "quote", "", b"before the step"), "200");
+    wait_for_polls(10);
+    step_clock(&shim, -HOUR_MS);
+    await_growth(before);
+}
+
 /// Guards against system calls that fail for a moment or do less than asked: every request gets its answer.
 #[test]
 fn requests_are_answered_while_system_calls_fail() {
--- a/crates/trace/src/recorder/mod.rs
+++ b/crates/trace/src/recorder/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Capacity of the ring, in records.
 const RING_CAPACITY: usize = 2048;
@@ -222,7 +222,7 @@
     pub fn shutdown(self, timeout: Duration) {
         self.shared.shutting_down.store(true, Ordering::Release);
         self.thread.thread().unpark();
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         while !self.thread.is_finished() && started.elapsed() < timeout {
             thread::sleep(Duration::from_millis(1));
         }
@@ -291,9 +291,11 @@
     }
 
     fn run(mut self) {
+        // Steps of the wall clock must not delay or hasten file actions.
+        let (started, started_unix) = (Instant::now(), unix_now());
         loop {
             let shutting_down = self.shared.shutting_down.load(Ordering::Acquire);
-            let now = unix_now();
+            let now = started_unix + started.elapsed().as_secs_f64();
             let ring_has_more = self.drain_ring(now);
             if shutting_down && !ring_has_more {
                 self.rotation.begin_shutdown();
