Close an idle connection only when the process is out of descriptors

Any failed accept, also one of a connection that had broken off (ECONNABORTED) or of a system short of buffers, closed an idle connection and waited for the next housekeeping. In the test an accept that fails with ECONNABORTED closed the resting connection, and a request on it got no answer there. Only EMFILE closes one now; failures of the connection itself are retried at once, 16 in a row at most, and the lines go through the log's limit.

--- a/crates/server/src/ingress/listener.rs
+++ b/crates/server/src/ingress/listener.rs
@@ -6,8 +6,34 @@
 use crate::wire::gateway::connections::Connections;
 use may::coroutine;
 use may::net::{TcpListener, TcpStream};
+use rustix::io::Errno;
+use std::io;
 use std::sync::Arc;
 
+/// Failed accepts in a row after which the listener pauses, whatever their cause.
+const MAX_IMMEDIATE_RETRIES: u32 = 16;
+
+/// What a failed accept calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// The process is out of descriptors: closing a connection frees one.
+    OutOfDescriptors,
+    /// The system is out of a resource, which passes.
+    OutOfResources,
+    /// Only the connection that was to be accepted failed.
+    Connection,
+}
+
+impl AcceptFailure {
+    fn of(error: &io::Error) -> AcceptFailure {
+        match Errno::from_io_error(error) {
+            Some(Errno::MFILE) => AcceptFailure::OutOfDescriptors,
+            Some(Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => AcceptFailure::OutOfResources,
+            _ => AcceptFailure::Connection,
+        }
+    }
+}
+
 /// Listener for gateway connections.
 pub struct GatewayListener {
     /// State shared by all sessions.
@@ -21,12 +47,13 @@
     /// idle, the new connection is closed rather than left in the backlog.
     pub fn run(&self, listener: &TcpListener) {
         let connections = &self.context.connections;
-        let mut serial = 0;
+        let (mut serial, mut failures) = (0, 0);
         loop {
             connections.wait_for_descriptor();
             match listener.accept() {
                 Ok((stream, _)) => {
                     serial += 1;
+                    failures = 0;
                     let _ = stream.set_nodelay(true);
                     if self.make_room() {
                         self.start_session(serial, stream);
@@ -39,15 +66,25 @@
                     }
                 }
                 Err(error) => {
-                    // The process may be out of descriptors: closing a connection frees one.
-                    tracing::warn!("listener: accept failed: {error}");
-                    connections.evict_idle_connection();
-                    self.housekeeping.wait();
+                    self.context.faults.warn(format_args!("listener: accept failed: {error}"));
+                    failures += 1;
+                    self.recover(AcceptFailure::of(&error), failures);
                 }
             }
         }
     }
 
+    /// Prepares the next accept after `failures` failed ones in a row.
+    fn recover(&self, failure: AcceptFailure, failures: u32) {
+        if failure == AcceptFailure::OutOfDescriptors {
+            self.context.connections.evict_idle_connection();
+        }
+        match failure {
+            AcceptFailure::Connection if failures < MAX_IMMEDIATE_RETRIES => coroutine::yield_now(),
+            _ => self.housekeeping.wait(),
+        }
+    }
+
     /// Returns whether one more connection can be served, closing the idlest one at the limit. A connection asked to
     /// close may receive a request first, so the limit can be exceeded by `closing_allowance`.
     fn make_room(&self) -> bool {
--- a/crates/server/tests/shim/system_faults.c
+++ b/crates/server/tests/shim/system_faults.c
@@ -17,6 +17,8 @@
     /* One in this many calls fails or is cut short; 0 for none. */
     uint32_t fail_one_in;
     uint32_t seed;
+    /* If not 0: only accepts fail, with this error. */
+    uint32_t accept_error;
 };
 
 static struct control none;
@@ -37,7 +39,7 @@
 /* Returns a number from 1 if the present call shall fail, else 0. */
 static uint32_t fault(void) {
     uint32_t one_in = control->fail_one_in;
-    if (!one_in)
+    if (!one_in || control->accept_error)
         return 0;
     uint32_t x = __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED) * 2654435761u + control->seed;
     x ^= x >> 16;
@@ -60,6 +62,9 @@
 
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, EINTR};
+    int only_error = control->accept_error;
+    if (only_error)
+        return fail(&only_error, 1, 0);
     uint32_t number = fault();
     return number ? fail(errors, 4, number) : syscall(SYS_accept4, fd, address, length, flags);
 }
--- a/crates/server/tests/system_faults.rs
+++ b/crates/server/tests/system_faults.rs
@@ -140,3 +140,19 @@
         }
     }
 }
+
+/// Guards against an accept that fails for its own connection and closes an idle one for it.
+#[test]
+fn failed_accept_closes_no_idle_connection() {
+    const ECONNABORTED: u32 = 103;
+    let (harness, shim) = start_server();
+    let mut idle = harness.connect_gateway();
+    assert_eq!(call_status(&mut idle, "quote", "", b"quick"), "200");
+    shim.set(SystemFaults { accept_error: ECONNABORTED, ..SystemFaults::default() });
+    let mut waiting = harness.connect_gateway();
+    harness.wait_for_log("listener: accept failed");
+    harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + 20);
+    shim.set(SystemFaults::default());
+    assert_eq!(call_status(&mut waiting, "quote", "", b"quick"), "200");
+    assert_eq!(call_status(&mut idle, "quote", "", b"quick"), "200");
+}
--- a/examples/toy/src/shim.rs
+++ b/examples/toy/src/shim.rs
@@ -13,6 +13,8 @@
     /// One in this many system calls on sockets fails or is cut short; 0 for none.
     pub fail_one_in: u32,
     pub seed: u32,
+    /// If not 0, only accepts fail, with this error number.
+    pub accept_error: u32,
 }
 
 /// The library, compiled from a source file, and its control file for one process.
@@ -50,6 +52,7 @@
         let mut bytes = faults.clock_step_ms.to_le_bytes().to_vec();
         bytes.extend(faults.fail_one_in.to_le_bytes());
         bytes.extend(faults.seed.to_le_bytes());
+        bytes.extend(faults.accept_error.to_le_bytes());
         // The file keeps its place on disk, which the process has mapped.
         let file = fs::OpenOptions::new().write(true).create(true).truncate(false).open(&self.control);
         let written = file.and_then(|mut file| std::io::Write::write_all(&mut file, &bytes));
