--- a/examples/toy/src/gateway.rs
+++ b/examples/toy/src/gateway.rs
@@ -66,7 +66,10 @@
         loop {
             match self.stream.peek(&mut [0]) {
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                result => return drop(result.expect("the server responds")),
+                result => {
+                    result.expect("the server responds");
+                    return;
+                }
             }
         }
     }
--- a/examples/toy/src/harness.rs
+++ b/examples/toy/src/harness.rs
@@ -169,7 +169,8 @@
             spawn_server(program, &self.config.to_string(), &self.log, &self.log_paused);
     }
 
-    fn signal(&self, signal: &str) {
+    /// Sends a signal to the process, such as `-TERM`.
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let done = Command::new("kill").args([signal, &id]).status().expect("kill can be run");
         assert!(done.success(), "kill {signal} {id}: {done}");
--- a/examples/toy/src/load.rs
+++ b/examples/toy/src/load.rs
@@ -6,7 +6,7 @@
 use crate::Monitor;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,6 +18,8 @@
 const CONNECTIONS: usize = 12;
 /// Open requests on one connection.
 const MAX_OPEN_REQUESTS: usize = 30;
+/// Age up to which a request crosses the end of its connection, so that a gateway sends it again.
+const CROSSING_TIME: Duration = Duration::from_millis(50);
 /// Pause of the generator between two looks at what is due.
 const PACE: Duration = Duration::from_millis(1);
 
@@ -56,6 +58,8 @@
     pub failed: usize,
     /// Given up without an answer.
     pub given_up: usize,
+    /// Without an answer when their connection ended, though sent some time before.
+    pub lost: usize,
     /// Not sent, since all connections were full.
     pub unsent: usize,
 }
@@ -82,6 +86,8 @@
 struct LoadState {
     open: HashMap<(usize, u64), OpenAttempt>,
     retries: Vec<Attempt>,
+    /// Connections that the server has closed.
+    ended: HashSet<usize>,
     counts: LoadCounts,
 }
 
@@ -164,6 +170,22 @@
                 state.retries.push(Attempt { number: open.attempt.number + 1, due, ..open.attempt });
             }
         }
+        self.end();
+    }
+
+    /// Settles the open requests of the connection, which has ended.
+    fn end(&self) {
+        let mut state = self.state.lock();
+        state.ended.insert(self.connection);
+        let open: Vec<OpenAttempt> = state
+            .open
+            .extract_if(|(connection, _), _| *connection == self.connection)
+            .map(|(_, open)| open)
+            .collect();
+        for open in open {
+            self.machine.settle(&open.id);
+            state.counts.lost += usize::from(open.sent_at.elapsed() > CROSSING_TIME);
+        }
     }
 }
 
@@ -215,7 +237,9 @@
         let id = format!("{:016x}", self.rng.random::<u64>());
         let mut state = self.state.lock();
         let is_free = |&connection: &usize| {
-            state.open.values().filter(|open| open.connection == connection).count() < MAX_OPEN_REQUESTS
+            !state.ended.contains(&connection)
+                && state.open.values().filter(|open| open.connection == connection).count()
+                    < MAX_OPEN_REQUESTS
         };
         let Some(connection) = (first..CONNECTIONS).chain(0..first).find(is_free) else {
             state.counts.unsent += 1;
