--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -31,6 +31,39 @@
     assert_eq!(call_status(&mut harness.connect_gateway(), "quote", "", b"still there"), "200");
 }
 
+// ---- link to the agent ----
+
+/// Guards against run slots held for good by requests that were cancelled before their launch had reached the agent.
+#[test]
+fn requests_cancelled_before_their_launch_was_sent_free_their_slots() {
+    let harness = start_server();
+    let mut gateway = harness.connect_gateway();
+    // The new link accepts no commands until its first poll is answered.
+    harness.agent.mute_samples(true);
+    harness.agent.disconnect();
+    harness.agent.wait_for_commands("subscribe", 2);
+    let wait_for_events = |event: &str, count: usize| {
+        harness.log.wait_for(&format!("{count} events{event}"), |log| {
+            (log.iter().filter(|line| line.ends_with(event)).count() >= count).then_some(())
+        });
+    };
+    // As many as the server runs at once.
+    for count in 1..=4 {
+        let (tag, _) = gateway.call("quote", "", b"hold");
+        wait_for_events(": run", count);
+        gateway.cancel(tag);
+        wait_for_events(": pause", count);
+    }
+    assert_eq!(harness.agent.command_count("launch", ""), 0);
+    harness.agent.mute_samples(false);
+    // While no slot is free, requests are rejected: those before them were given up soon.
+    let started_at = Instant::now();
+    while call_status(&mut harness.connect_gateway(), "quote", "", b"quick") != "200" {
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "no slot is free after {WAIT_TIMEOUT:?}");
+        thread::yield_now();
+    }
+}
+
 // ---- closing connections ----
 
 #[test]
