An answer on a new link confirms no command that an earlier one may have lost

A command's stamp was compared with the latest answered poll of any link, so that a poll of the new link could confirm a command that the broken one had lost; the run would hold its slot for good. By the order of the coroutines the resend comes first, so that no process test shows it; the test of the link failed.

--- a/crates/server/src/wire/agent/link.rs
+++ b/crates/server/src/wire/agent/link.rs
@@ -6,6 +6,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::io::WaitIoWaker;
 use serde_json::Value;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
@@ -22,6 +23,8 @@
 pub const NO_COMMAND: CommandStamp = 0;
 /// Stamp of a command that could not be sent; it is never confirmed.
 const NOT_SENT: CommandStamp = u64::MAX;
+/// A range that contains no stamp.
+const EMPTY_RANGE: RangeInclusive<CommandStamp> = 1..=0;
 
 /// Sending side of the agent connection.
 pub struct AgentLink {
@@ -39,6 +42,8 @@
     last_poll: u64,
     /// Tag of the last gauge poll answered: commands sent before it on this connection have been read.
     last_answer: u64,
+    /// Stamps of commands that an earlier connection may have lost; no later answer confirms them.
+    possibly_lost: RangeInclusive<CommandStamp>,
     /// Send time of the replay mark, s.
     mark_sent_at: f64,
     broken: bool,
@@ -53,6 +58,7 @@
             accepting_commands: false,
             last_poll: 0,
             last_answer: 0,
+            possibly_lost: EMPTY_RANGE,
             mark_sent_at: f64::MAX,
             broken: false,
         };
@@ -70,7 +76,8 @@
 
     /// Returns whether the agent is known to have read the command with this stamp.
     pub fn is_confirmed(&self, stamp: CommandStamp) -> bool {
-        stamp < self.state().last_answer
+        let state = self.state();
+        stamp < state.last_answer && !state.possibly_lost.contains(&stamp)
     }
 
     /// Starts a run.
@@ -197,6 +204,9 @@
     }
 
     fn close(&mut self) {
+        if self.accepting_commands {
+            self.possibly_lost = self.last_answer..=self.last_poll;
+        }
         self.waker = None;
         self.accepting_commands = false;
         self.mark_sent_at = f64::MAX;
