Answer the open requests of a connection before closing it over invalid bytes

A connection whose gateway sent an invalid message was closed at once, and requests read before it got no answer, though nothing lifts that duty but the caller's leaving. The test got the end of the connection in place of the response. The session now stops reading and closes once they are answered, by their deadlines at the latest.

--- a/crates/server/src/ingress/session.rs
+++ b/crates/server/src/ingress/session.rs
@@ -91,6 +91,7 @@
             Ok(SessionEnd::Closing) => self.close(stream),
             Err(violation) => {
                 self.context.faults.warn(format_args!("gateway: closing connection: {violation}"));
+                self.answer_open_requests(stream);
                 self.close(stream);
             }
         }
@@ -233,6 +234,21 @@
         }
     }
 
+    /// Waits until the open requests are answered or the connection ends, without reading on: what was read before a
+    /// violation is still owed its answer.
+    fn answer_open_requests(&self, stream: &TcpStream) {
+        loop {
+            let mut state = self.connection.state();
+            let written = self.connection.flush(&mut state, stream);
+            let is_answered = state.open_requests.is_empty() && state.unsent.is_empty();
+            if is_answered || state.closed || written.is_err() {
+                return;
+            }
+            drop(state);
+            stream.wait_io();
+        }
+    }
+
     /// Removes the connection from the served ones and cancels its open requests.
     fn deregister(&self) {
         self.context.connections.remove(self.serial);
--- a/crates/server/tests/races.rs
+++ b/crates/server/tests/races.rs
@@ -80,6 +80,21 @@
     gateway.read_to_end().expect("the connection is closed without a reset");
 }
 
+/// Guards against requests that were read and got no answer since bytes after them were invalid.
+#[test]
+fn broken_message_closes_after_pending_responses() {
+    let harness = start_server();
+    let mut gateway = harness.connect_gateway();
+    let (tag, attempt_id) = gateway.call("quote", "", b"hold");
+    harness.agent.wait_for_command("launch", &attempt_id);
+    gateway.stream.write_all(b"*no array\r\n").unwrap();
+    harness.wait_for_log("gateway: closing connection");
+    harness.agent.finish_run(&attempt_id);
+    let response = gateway.read_response().expect("a response to the open request");
+    assert_eq!((response.tag, response.status.as_str()), (tag, "200"));
+    gateway.read_to_end().unwrap();
+}
+
 #[test]
 fn incomplete_message_closes_after_pending_responses() {
     let harness = start_server();
