--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -112,6 +112,12 @@
         self.unaccounted.iter().copied().fold(f64::MAX, f64::min)
     }
 
+    /// Returns the memory in use as fractions: counted, and beyond that by the gauge.
+    pub fn usage_text(&self) -> String {
+        let (counted, beyond) = (self.used / self.capacity, self.unaccounted() / self.capacity);
+        format!("memory {counted:.2} counted, {beyond:.2} more by the gauge")
+    }
+
     /// Returns the memory in use.
     fn in_use(&self) -> f64 {
         self.used + self.unaccounted()
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -1,5 +1,6 @@
 //! Rejections: Retry-After, whether to try another server, and the rejection log.
 
+use super::in_flight::Stage;
 use super::state::AdmissionPolicy;
 use crate::{Decisions, Reason};
 
@@ -27,10 +28,26 @@
     pub(super) fn log_rejections(&mut self, now: f64, decisions: &mut impl Decisions) {
         if let Some(counts) = self.rejections.take_text(now) {
             let (runs, calls) = (self.concurrency_limit.runs(), self.call_window.window());
-            decisions.log(&format!("rejected:{counts} limit {runs:.1}, calls {calls:.1}"));
+            let stages = self.stage_counts();
+            let memory = self.memory.usage_text();
+            decisions
+                .log(&format!("rejected:{counts} limit {runs:.1}, calls {calls:.1}; {stages}; {memory}"));
         }
     }
 
+    /// Returns the numbers of requests in flight by stage, as text.
+    fn stage_counts(&self) -> String {
+        let count = |stage| self.requests.iter().filter(|(_, request)| request.stage == stage).count();
+        format!(
+            "{} queued, {} running, {} waiting for a call, {} calling, {} waiting for a result",
+            count(Stage::Queued),
+            count(Stage::Running),
+            count(Stage::AwaitingCall),
+            count(Stage::Calling),
+            count(Stage::Replaying)
+        )
+    }
+
     fn retry_after(&mut self) -> f64 {
         let is_healthy = self.slowdown.run_time_ratio() < HEALTHY_RUN_TIME_RATIO && self.drain.is_none();
         let delay = self.retry_advice.random_retry_after(is_healthy);
