--- a/src/policy/averages.rs
+++ b/src/policy/averages.rs
@@ -2,7 +2,7 @@
 
 /// Weight of a new sample in a moving average; the last 20 samples dominate.
 pub(super) const EWMA_WEIGHT: f64 = 0.05;
-/// Weight of a new sample where a change must show within a second.
+/// Weight of a new sample where a change, such as a slow machine, must show within a second.
 pub(super) const FAST_EWMA_WEIGHT: f64 = 0.1;
 
 /// Returns the moving average after `sample`; the first sample becomes the mean.
--- a/src/policy/call_window.rs
+++ b/src/policy/call_window.rs
@@ -15,13 +15,14 @@
 /// Smallest window to a next tier, as a fraction of the largest: hung calls must not block calls to healthy
 /// servers.
 const NEXT_TIER_MIN_FRACTION: f64 = 0.5;
-/// Averaging time of the number of open calls, as a fraction of the dependency's averaging window.
+/// Averaging time of the number of open calls, as a fraction of the dependency's averaging window; short, so
+/// that the mean does not lag.
 const MEAN_WINDOW_FRACTION: f64 = 0.3;
 /// Shortest averaging time of the number of open calls, in seconds.
 const MIN_MEAN_WINDOW_S: f64 = 0.1;
 /// Factor by which a rejected or slow call reduces the window.
 const WINDOW_DECREASE_FACTOR: f64 = 0.7;
-/// Ratio of a call's recent time to its baseline above which calls count as slow.
+/// Ratio of a call's recent time to its baseline above which calls count as slow; beyond chance variation.
 const SLOW_CALL_TIME_RATIO: f64 = 2.5;
 
 /// Limit on open downstream calls, with the call statistics that adapt it.
--- a/src/policy/calls.rs
+++ b/src/policy/calls.rs
@@ -6,7 +6,7 @@
 use super::timing::DEADLINE_MARGIN_S;
 use crate::{Completion, Decisions, Outcome, Reason};
 
-/// Backoff before a call is retried, in seconds, doubled with each failure.
+/// Backoff before a call is retried, in seconds, doubled with each failure; a full tier has moved on by then.
 const CALL_RETRY_BACKOFF_S: f64 = 0.025;
 /// Number of failures up to which the backoff doubles.
 const MAX_BACKOFF_DOUBLINGS: u8 = 6;
@@ -15,8 +15,9 @@
 /// Longest wait for an optional call, as a fraction of the latency objective.
 const CALL_WAIT_FRACTION: f64 = 0.25;
 
-/// Returns the timeout of a call, in seconds. A hung optional call leaves time for a degraded answer; a
-/// required call may take the time left to the latency objective.
+/// Returns the timeout of a call, in seconds. A hung call must hold neither its request until the deadline nor
+/// its place in the call window: an optional call leaves time for a degraded answer, a required one may take
+/// the time left to the latency objective.
 fn call_timeout(now: f64, request: &InFlight, is_optional: bool) -> f64 {
     let remaining = request.arrived + request.objective - now;
     let timeout = if is_optional {
--- a/src/policy/concurrency.rs
+++ b/src/policy/concurrency.rs
@@ -6,11 +6,11 @@
 
 /// Busy fraction of the cores from which they count as saturated; the gauge lags and is rounded.
 pub(super) const SATURATED_BUSY_FRACTION: f64 = 0.92;
-/// Fraction by which the limit shrinks per control step.
+/// Fraction by which the limit shrinks per control step; it halves in a second or two.
 const LIMIT_DECREASE_FRACTION: f64 = 0.05;
-/// Runs added to the limit per control step while cores are free.
+/// Runs added to the limit per control step while cores are free; whole ones, since slots are few.
 const LIMIT_INCREASE_RUNS: f64 = 1.0;
-/// Largest limit, as a fraction of the sustainable concurrency.
+/// Largest limit, as a fraction of the sustainable concurrency; runs that wait for the disk count too.
 const MAX_RUNS_FRACTION: f64 = 0.75;
 /// Most running and calling requests together, as a fraction of the sustainable concurrency.
 const MAX_RUNS_AND_CALLS_FRACTION: f64 = 0.8;
@@ -47,7 +47,8 @@
     }
 
     /// Adapts the limit to the gauges of a control step: grows while cores are free and requests are
-    /// queued, shrinks while the cores are saturated and runs are slow.
+    /// queued, shrinks while the cores are saturated and runs are slow. Free cores with requests queued take
+    /// precedence over run time.
     pub fn step(&mut self, gauges: &Gauges, running: usize, is_queue_empty: bool, run_time_ratio: f64) {
         let busy = gauges.busy.unwrap_or(running as f64 / self.runs);
         // A slot freed in this round does not count as free: it is assigned at the end of the round.
--- a/src/policy/estimates.rs
+++ b/src/policy/estimates.rs
@@ -9,22 +9,23 @@
 /// Number of runs before a baseline is valid; the first runs to end are the short ones.
 const MIN_BASELINE_SAMPLES: f64 = 20.0;
 /// Ratio of run time to baseline at which samples of the baseline are clipped, and above which the concurrency
-/// limit may shrink.
+/// limit may shrink; reading beside the runs alone raises it that far.
 pub(super) const TOLERATED_RUN_TIME_RATIO: f64 = 1.3;
 /// Largest reference run time, as a fraction of the latency objective.
 const MAX_REFERENCE_RUN_FRACTION: f64 = 0.33;
-/// Wait threshold of a class, as a fraction of its timeout.
+/// Wait threshold of a class, as a fraction of its timeout: the fifth that the mechanism states.
 const WAIT_THRESHOLD_FRACTION: f64 = 0.2;
-/// Wait threshold of a class of low weight, as a fraction of its timeout.
+/// Wait threshold of a class of low weight, as a fraction of its timeout: tighter, yet over a tenth, so that
+/// its requests queue before they are rejected.
 const LOW_WEIGHT_WAIT_THRESHOLD_FRACTION: f64 = 0.12;
 /// Fraction of the highest class weight up to which a class is of low weight.
 const LOW_WEIGHT_FRACTION: f64 = 0.5;
 /// Largest ratio of relative run time to relative hint that a sample contributes; limits the effect of
 /// outliers.
 const MAX_TIME_TO_HINT_RATIO: f64 = 3.0;
-/// Least expected work of a request, relative to the mean of its class.
+/// Least expected work of a request, relative to the mean of its class; a hint must not make a request free.
 const MIN_RELATIVE_WORK: f64 = 0.05;
-/// Weight of a new sample in the fraction of callers that abandon.
+/// Weight of a new sample in the fraction of callers that abandon; a small server sees one in a second or so.
 const ABANDONMENT_EWMA_WEIGHT: f64 = 0.2;
 /// Fraction of abandoning callers above which their mean age limits the run.
 const ABANDONMENT_THRESHOLD_FRACTION: f64 = 0.5;
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -12,9 +12,10 @@
 const SLOW_CONFIRMATION_S: f64 = 0.15;
 /// Time for which a slow server reports unhealthy, in seconds; endpoint lists lag by seconds.
 const UNHEALTHY_DURATION_S: f64 = 8.0;
-/// Open connections per sustainable request above which the keepalive timeout shrinks.
+/// Open connections per sustainable request above which the keepalive timeout shrinks; no more are ever at
+/// work.
 const CONNECTIONS_PER_REQUEST: f64 = 1.0;
-/// Fraction by which the keepalive timeout changes per control step.
+/// Fraction by which the keepalive timeout changes per control step; a tenfold change takes two seconds.
 const KEEPALIVE_STEP_FRACTION: f64 = 0.1;
 
 /// Ages of the open runs, in seconds.
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -17,7 +17,7 @@
 const GAUGE_READINGS: usize = 5;
 /// Age at which gauge readings no longer count, in seconds.
 const MAX_GAUGE_AGE_S: f64 = 1.0;
-/// Fraction of the memory that idempotency keys may use.
+/// Fraction of the memory that idempotency keys may use; a few runs still fit beside them.
 const MAX_KEY_MEMORY_FRACTION: f64 = 0.7;
 
 /// Memory accounting of the machine, in kilobytes.
--- a/src/policy/pressure.rs
+++ b/src/policy/pressure.rs
@@ -4,7 +4,7 @@
 
 /// Ratio of wait to threshold above which the pressure rises; below half of it the pressure decays.
 const HIGH_WAIT_RATIO: f64 = 0.6;
-/// Increase of the pressure per control step.
+/// Increase of the pressure per control step: full in three seconds, since callers hear of it late.
 pub(super) const PRESSURE_INCREMENT: f64 = 0.03;
 /// Decay of the pressure per control step while the server is busy, in increments.
 const BUSY_DECAY_FACTOR: f64 = 0.5;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -6,7 +6,8 @@
 use crate::{Decisions, Reason};
 use std::cmp::Ordering;
 
-/// Wait threshold of a retry, as a fraction of the timeout; most of its caller's time has passed.
+/// Wait threshold of a retry, as a fraction of the timeout; most of its caller's time has passed. The paper
+/// behind the mechanism waits 10 of 250 ms.
 const RETRY_WAIT_THRESHOLD_FRACTION: f64 = 0.04;
 /// Factor on the weight of a retry, since part of its latency objective passed before it arrived.
 const RETRY_WEIGHT_FACTOR: f64 = 0.3;
@@ -107,7 +108,7 @@
     }
 
     /// Rejects queued requests past their threshold or without enough time left, and records waits as
-    /// pressure.
+    /// pressure. Runs between free slots too, so that what is given up is answered at once.
     pub(super) fn reject_overdue(&mut self, now: f64, decisions: &mut impl Decisions) {
         for position in (0..self.queue.len()).rev() {
             let index = self.queue[position];
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -6,7 +6,7 @@
 
 /// Run time ratio below which a loaded machine counts as healthy.
 const HEALTHY_RUN_TIME_RATIO: f64 = 2.5;
-/// Most requests of a caller that one rejection may defer.
+/// Most requests of a caller that one rejection may defer; few, since it is one rejection of many.
 const MAX_DEFERRED_REQUESTS: f64 = 4.0;
 /// Least completion rate assumed for the Retry-After bound, in runs per second.
 const MIN_COMPLETION_RATE: f64 = 0.1;
@@ -16,7 +16,7 @@
     pub(super) fn reject(&mut self, index: usize, reason: Reason, decisions: &mut impl Decisions) {
         let request = self.remove(index, decisions);
         // Frequent retries mean that the other servers are overloaded too, and forwarding would only add
-        // load.
+        // load: each server must read what it then rejects.
         let is_fleet_overloaded = request.input.is_retry || self.retry_advice.is_fleet_overloaded();
         let do_not_forward = reason != Reason::Draining && is_fleet_overloaded;
         let retry_after = self.retry_after();
@@ -24,7 +24,7 @@
         self.rejections.add(request.input.class, reason);
     }
 
-    /// Logs the rejections once per log interval.
+    /// Logs the rejections once per log interval; a line for each would fill the log in a flood.
     pub(super) fn log_rejections(&mut self, now: f64, decisions: &mut impl Decisions) {
         if let Some(counts) = self.rejections.take_text(now) {
             let (runs, calls) = (self.concurrency_limit.runs(), self.call_window.window());
