--- a/crates/server/src/wire/agent/link.rs
+++ b/crates/server/src/wire/agent/link.rs
@@ -23,8 +23,6 @@
 pub const NO_COMMAND: CommandStamp = 0;
 /// Stamp of a command that could not be sent; it is never confirmed.
 const NOT_SENT: CommandStamp = u64::MAX;
-/// A range that contains no stamp.
-const EMPTY_RANGE: RangeInclusive<CommandStamp> = 1..=0;
 
 /// Sending side of the agent connection.
 pub struct AgentLink {
@@ -43,7 +41,7 @@
     /// Tag of the last gauge poll answered: commands sent before it on this connection have been read.
     last_answer: u64,
     /// Stamps of commands that an earlier connection may have lost; no later answer confirms them.
-    possibly_lost: RangeInclusive<CommandStamp>,
+    possibly_lost: Option<RangeInclusive<CommandStamp>>,
     /// Send time of the replay mark, s.
     mark_sent_at: f64,
     broken: bool,
@@ -58,7 +56,7 @@
             accepting_commands: false,
             last_poll: 0,
             last_answer: 0,
-            possibly_lost: EMPTY_RANGE,
+            possibly_lost: None,
             mark_sent_at: f64::MAX,
             broken: false,
         };
@@ -77,7 +75,8 @@
     /// Returns whether the agent is known to have read the command with this stamp.
     pub fn is_confirmed(&self, stamp: CommandStamp) -> bool {
         let state = self.state();
-        stamp < state.last_answer && !state.possibly_lost.contains(&stamp)
+        let is_possibly_lost = state.possibly_lost.as_ref().is_some_and(|lost| lost.contains(&stamp));
+        stamp < state.last_answer && !is_possibly_lost
     }
 
     /// Starts a run.
@@ -205,7 +204,7 @@
 
     fn close(&mut self) {
         if self.accepting_commands {
-            self.possibly_lost = self.last_answer..=self.last_poll;
+            self.possibly_lost = Some(self.last_answer..=self.last_poll);
         }
         self.waker = None;
         self.accepting_commands = false;
