--- a/src/policy/call_window.rs
+++ b/src/policy/call_window.rs
@@ -25,6 +25,10 @@
 /// Ratio of a call's recent time to its baseline above which calls count as slow; beyond chance variation.
 const SLOW_CALL_TIME_RATIO: f64 = 2.5;
 
+/// Time without a completed call, in seconds, after which the dependency counts as out of reach if a call is
+/// open or awaited.
+const OUT_OF_REACH_S: f64 = 1.0;
+
 /// Limit on open downstream calls, with the call statistics that adapt it.
 pub(super) struct CallWindow {
     window: f64,
@@ -35,6 +39,10 @@
     recent_time: f64,
     /// Baseline of `recent_time`, in seconds.
     base_time: f64,
+    /// When a call last completed, or when none was open or awaited and none had failed since.
+    last_progress_at: f64,
+    /// Whether a call has failed since one last completed.
+    has_failed: bool,
     /// Moving average of the number of calls that occupy the dependency.
     mean_open: f64,
     /// Averaging time of `mean_open`, in seconds.
@@ -63,6 +71,8 @@
             decreased_at: 0.0,
             recent_time: 0.0,
             base_time: 0.0,
+            last_progress_at: 0.0,
+            has_failed: false,
             mean_open: 0.0,
             mean_window: (MEAN_WINDOW_FRACTION * settings.call_averaging_window).max(MIN_MEAN_WINDOW_S),
             linger: settings.abandoned_call_linger,
@@ -94,12 +104,26 @@
     /// Records a failed call. One that timed out occupies the dependency for the linger time; any other counts
     /// as occupying until the next call of `headroom`.
     pub fn add_failure(&mut self, now: f64, outcome: Outcome) {
+        self.has_failed = true;
         let linger = if outcome == Outcome::TimedOut { self.linger } else { 0.0 };
         self.lingering_until.push_back(now + linger);
     }
 
-    /// Records the duration of a completed call, in seconds.
-    pub fn record_time(&mut self, duration: f64) {
+    /// Records that no call is open or awaited.
+    pub fn record_idle(&mut self, now: f64) {
+        if !self.has_failed {
+            self.last_progress_at = now;
+        }
+    }
+
+    /// Returns whether no call has completed for so long that the dependency counts as out of reach.
+    pub fn is_out_of_reach(&self, now: f64) -> bool {
+        now - self.last_progress_at > OUT_OF_REACH_S.max(SLOW_CALL_TIME_RATIO * self.base_time)
+    }
+
+    /// Records a completed call and its duration, in seconds.
+    pub fn record_time(&mut self, now: f64, duration: f64) {
+        (self.last_progress_at, self.has_failed) = (now, false);
         let weight = if duration < self.base_time { EWMA_WEIGHT } else { 1.0 / BASELINE_SAMPLES };
         self.base_time = moving_average(self.base_time, duration, weight);
         self.recent_time = moving_average(self.recent_time, duration, EWMA_WEIGHT);
--- a/src/policy/calls.rs
+++ b/src/policy/calls.rs
@@ -56,7 +56,7 @@
         }
         let outcome = completion.outcome;
         if outcome == Outcome::Completed {
-            self.call_window.record_time(completion.duration);
+            self.call_window.record_time(now, completion.duration);
             self.resume_after_call(now, index);
         } else {
             self.handle_call_failed(now, index, outcome);
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -11,6 +11,10 @@
 const QUEUE_MEMORY_FRACTION: f64 = 0.07;
 /// Time for which arrivals find memory while the process stands still, in seconds.
 const ARRIVAL_RESERVE_S: f64 = 0.7;
+/// Time between two rounds that counts as a standstill of the process, in seconds; several ticks.
+const STANDSTILL_S: f64 = 0.1;
+/// Time for which a standstill is expected to repeat, in seconds.
+const STANDSTILL_MEMORY_S: f64 = 10.0;
 /// Largest fraction of the memory without keys that is reserved for arrivals.
 const MAX_ARRIVAL_RESERVE_FRACTION: f64 = 0.5;
 /// Number of gauge readings of which the least counts; a single one may be older than the last round.
@@ -36,6 +40,10 @@
     arrived: f64,
     /// Moving average of the memory of arrivals, in kilobytes per second.
     arrival_rate: f64,
+    /// Whether memory is kept free for arrivals.
+    has_reserve: bool,
+    /// When the process last stood still.
+    last_standstill: Option<f64>,
     /// Memory by the latest gauge readings beyond `used`: requests that are unread, or whose answers are.
     unaccounted: [f64; GAUGE_READINGS],
     next_reading: usize,
@@ -58,6 +66,8 @@
             runs: 0,
             arrived: 0.0,
             arrival_rate: 0.0,
+            has_reserve: false,
+            last_standstill: None,
             unaccounted: [0.0; GAUGE_READINGS],
             next_reading: 0,
             gauge_read_at: 0.0,
@@ -129,8 +139,26 @@
         self.arrived = 0.0;
     }
 
-    /// Returns the memory above which the queue is shed. Arrivals of `ARRIVAL_RESERVE_S` find room above it.
+    /// Records the time since the last round.
+    pub fn observe_round(&mut self, now: f64, elapsed: f64) {
+        if elapsed > STANDSTILL_S {
+            self.last_standstill = Some(now);
+        }
+    }
+
+    /// Decides whether memory is kept free for arrivals: while runs pile up at a dependency out of reach, and
+    /// where the process has stood still of late.
+    pub fn update_reserve(&mut self, now: f64, is_out_of_reach: bool) {
+        let stood_still = self.last_standstill.is_some_and(|at| now - at < STANDSTILL_MEMORY_S);
+        self.has_reserve = is_out_of_reach || stood_still;
+    }
+
+    /// Returns the memory above which the queue is shed. Arrivals of `ARRIVAL_RESERVE_S` find room above it if
+    /// memory is kept for them.
     fn queue_limit(&self) -> f64 {
+        if !self.has_reserve {
+            return MAX_QUEUE_MEMORY_FRACTION * self.capacity;
+        }
         let without_keys = self.capacity - self.remembered_keys();
         let reserve =
             (ARRIVAL_RESERVE_S * self.arrival_rate).min(MAX_ARRIVAL_RESERVE_FRACTION * without_keys);
--- a/src/policy/rounds.rs
+++ b/src/policy/rounds.rs
@@ -107,7 +107,9 @@
 
     /// Recounts running and calling requests, used memory and the age of open runs.
     fn update_usage(&mut self, now: f64) {
-        self.call_window.update_mean(now - self.last_round, self.calling);
+        let elapsed = now - self.last_round;
+        self.call_window.update_mean(elapsed, self.calling);
+        self.memory.observe_round(now, elapsed);
         self.last_round = now;
         self.memory.begin_count(now);
         (self.running, self.calling) = (0, 0);
@@ -125,6 +127,10 @@
             }
         }
         self.slowdown.update_open_runs(&run_ages, self.running, self.settings.cores);
+        if self.memory.runs() == self.running {
+            self.call_window.record_idle(now);
+        }
+        self.memory.update_reserve(now, self.call_window.is_out_of_reach(now));
     }
 
     /// Handles a scheduled tick, with a control step if one is due.
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -130,6 +130,11 @@
     /// Returns how many more requests a warming server may have in flight, queued ones and runs that wait
     /// for a call included. Limits the burst when all callers discover a new server at once.
     pub(super) fn in_flight_headroom(&self, now: f64) -> f64 {
-        self.warm_up.in_flight_limit(now) - (self.queue.len() + self.memory.runs()) as f64
+        let runs = if self.call_window.is_out_of_reach(now) {
+            self.memory.runs()
+        } else {
+            self.running + self.calling
+        };
+        self.warm_up.in_flight_limit(now) - (self.queue.len() + runs) as f64
     }
 }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -375,6 +375,26 @@
     assert!(open_runs > 0 && held + 0.7 * arrivals_per_second <= memory, "{open_runs} runs hold {held} KB");
 }
 
+/// Guards against a second standstill of the process, beside a dependency that is well.
+#[test]
+fn memory_is_kept_for_arrivals_after_a_standstill() {
+    let settings = PolicySettings { overload_multiple: 40.0, ..settings_with_memory_for(100.0) };
+    let open_runs = |standstill: f64| {
+        let mut host = Host::new(&settings);
+        host.gauges = Gauges { busy: Some(0.2), runnable: Some(1.0), ..Gauges::default() };
+        host.now += standstill;
+        for id in 1..=1200 {
+            host.arrive(&[request(id, 3)]);
+            if id % 4 == 0 {
+                host.advance(0.02);
+            }
+        }
+        host.count("run") - host.count("fail")
+    };
+    let (without, after) = (open_runs(0.0), open_runs(0.3));
+    assert!(40 * after <= 4_000 - 1_400 && without > after, "{after} runs, {without} without a standstill");
+}
+
 /// Guards against retries of one request that filled the memory while they waited for the first attempt.
 #[test]
 fn waiting_retries_are_failed_when_memory_runs_out() {
