Leave unsent answers to the close of a connection, which bounds the wait for them

The wait for open requests after invalid bytes also waited for the gateway to read their answers, without a limit, though the close that follows sends what is unsent and gives that a second. Found by reading.

--- a/crates/server/src/ingress/session.rs
+++ b/crates/server/src/ingress/session.rs
@@ -240,8 +240,7 @@
         loop {
             let mut state = self.connection.state();
             let written = self.connection.flush(&mut state, stream);
-            let is_answered = state.open_requests.is_empty() && state.unsent.is_empty();
-            if is_answered || state.closed || written.is_err() {
+            if state.open_requests.is_empty() || state.closed || written.is_err() {
                 return;
             }
             drop(state);
