Execution: no stamp for the launch beside that of the last command

A freeze that is not confirmed is sent again behind a launch, confirmed or not: for a request that runs already a launch does nothing, and a freeze that is confirmed came behind its launch. The state goes, the test stays.

--- a/crates/server/src/request/execution.rs
+++ b/crates/server/src/request/execution.rs
@@ -182,8 +182,6 @@
     reply: &'r mut PendingReply<'a>,
     last_command: AgentCommand,
     last_stamp: CommandStamp,
-    /// Stamp of the launch, until a notice shows that the agent has received it.
-    launch_stamp: CommandStamp,
     paused: bool,
     pending_call: PendingCall,
     store_call: Option<Arc<StoreCall>>,
@@ -209,7 +207,6 @@
             reply,
             last_command: AgentCommand::None,
             last_stamp: NO_COMMAND,
-            launch_stamp: NO_COMMAND,
             paused: false,
             pending_call: PendingCall::default(),
             store_call: None,
@@ -247,7 +244,7 @@
                 self.context.dispatcher.report_cancelled(self.id);
             }
             // After a reconnect, resend the command that the agent may not have received.
-            Event::Resume => self.resend_commands(),
+            Event::Resume => self.resend_last_command(),
             Event::Reject { retry_after, do_not_forward, reason } => {
                 self.reply.reject(retry_after, do_not_forward, reason);
                 self.guard.disarm();
@@ -344,7 +341,6 @@
     /// Records that the run waits for a downstream call and asks the policy to allow it.
     fn request_call(&mut self, notice_sequence: u64, body: Vec<u8>) {
         self.last_command = AgentCommand::None;
-        self.launch_stamp = NO_COMMAND;
         self.pending_call.notice_sequence = notice_sequence;
         self.pending_call.body = body;
         self.pending_call.attempts = 0;
@@ -397,16 +393,16 @@
         self.guard.report_ended(outcome, duration);
     }
 
-    /// Sends the commands again that the agent may not have received. A freeze stops nothing, and is followed by no
-    /// notice, unless the launch before it has arrived.
-    fn resend_commands(&mut self) {
-        let agent = &self.context.agent;
-        if self.last_command == AgentCommand::Freeze && !agent.is_confirmed(self.launch_stamp) {
-            self.launch_stamp = self.launch();
+    /// Sends the last command again if the agent may not have received it. A freeze stops nothing, and is followed by
+    /// no notice, unless the launch before it has arrived; a launch that has arrived may be repeated.
+    fn resend_last_command(&mut self) {
+        if self.context.agent.is_confirmed(self.last_stamp) {
+            return;
         }
-        if !agent.is_confirmed(self.last_stamp) {
-            self.send_last_command();
+        if self.last_command == AgentCommand::Freeze {
+            self.launch();
         }
+        self.send_last_command();
     }
 
     fn launch(&self) -> CommandStamp {
@@ -424,10 +420,7 @@
         let (agent, attempt) = (&self.context.agent, &self.received.attempt);
         self.last_stamp = match self.last_command {
             AgentCommand::None => NO_COMMAND,
-            AgentCommand::Launch => {
-                self.launch_stamp = self.launch();
-                self.launch_stamp
-            }
+            AgentCommand::Launch => self.launch(),
             AgentCommand::Freeze => agent.freeze(attempt),
             AgentCommand::Thaw => agent.thaw(attempt),
             AgentCommand::Deliver => agent.deliver(attempt, &self.pending_call.reply),
