--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -1,5 +1,5 @@
-//! Deadlines: answers requests that have left the queue before their deadline. Queued ones are rejected in
-//! `queue`.
+//! Deadlines: answers requests that have left the queue before their deadline, or when memory runs out. Queued
+//! ones are rejected in `queue`.
 
 use super::in_flight::{InFlight, Stage};
 use super::state::AdmissionPolicy;
@@ -15,7 +15,7 @@
                 continue;
             }
             if now >= request.deadline - DEADLINE_MARGIN_S {
-                self.fail_at_deadline(index, decisions);
+                self.fail_out_of_queue(index, Reason::DeadlineReached, decisions);
             } else if self.is_call_wait_exceeded(now, request) {
                 self.running += 1;
                 self.give_up_call(now, index, decisions);
@@ -23,10 +23,11 @@
         }
     }
 
-    fn fail_at_deadline(&mut self, index: usize, decisions: &mut impl Decisions) {
+    /// Fails a request that has left the queue, and preempts its run if possible.
+    fn fail_out_of_queue(&mut self, index: usize, reason: Reason, decisions: &mut impl Decisions) {
         let is_preemptible = self.is_preemptible();
         let request = &mut self.requests[index];
-        decisions.fail(request.input.id, Reason::DeadlineReached);
+        decisions.fail(request.input.id, reason);
         request.answered = true;
         if request.stage == Stage::Running && is_preemptible {
             decisions.preempt(request.input.id);
@@ -52,16 +53,7 @@
             let priorities = waiting.map(|(index, _)| (index, self.priority(index)));
             let Some((index, _)) = priorities.min_by(|a, b| a.1.compare(b.1)) else { return };
             self.memory.expect_end(&self.requests[index]);
-            self.fail_waiting(index, Reason::MemoryPressure, decisions);
-        }
-    }
-
-    fn fail_waiting(&mut self, index: usize, reason: Reason, decisions: &mut impl Decisions) {
-        let request = &mut self.requests[index];
-        decisions.fail(request.input.id, reason);
-        request.answered = true;
-        if request.stage == Stage::Replaying {
-            self.remove(index, decisions);
+            self.fail_out_of_queue(index, Reason::MemoryPressure, decisions);
         }
     }
 }
