Tests: one place each for machine settings, a store's call, faults of reads and writes

overload and soak adapted the configuration alike; the faulty store read HTTP as the other stand-in does; the shim's recv and send failed by the same lines; the soak set store states by five arms (its seeds draw other faults now); the limit on clusters of the lease tests is tokio's semaphore.

--- a/crates/cli/tests/proving.rs
+++ b/crates/cli/tests/proving.rs
@@ -9,7 +9,7 @@
 use puffinladder_proving::schedule::{ProcessId, Schedule};
 use puffinladder_trace_store::injected_bug::InjectedBug;
 use std::path::Path;
-use std::sync::{Condvar, Mutex, PoisonError};
+use tokio::sync::Semaphore;
 
 fn setup(folder: &Path) -> ClusterConfig {
     let program = Program {
@@ -22,39 +22,18 @@
 /// Clusters that run at once; more would starve one another of the cores, and a cut would meet holders without leases.
 const MAX_CLUSTERS: usize = 4;
 
-/// Clusters that run now.
-static CLUSTERS: Mutex<usize> = Mutex::new(0);
-static CLUSTER_ENDED: Condvar = Condvar::new();
-
-/// Place of a running cluster, freed on drop.
-struct ClusterSlot;
-
-impl ClusterSlot {
-    fn acquire() -> ClusterSlot {
-        let clusters = CLUSTERS.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut clusters = CLUSTER_ENDED
-            .wait_while(clusters, |clusters| *clusters >= MAX_CLUSTERS)
-            .unwrap_or_else(PoisonError::into_inner);
-        *clusters += 1;
-        ClusterSlot
-    }
-}
-
-impl Drop for ClusterSlot {
-    fn drop(&mut self) {
-        *CLUSTERS.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        CLUSTER_ENDED.notify_one();
-    }
-}
+static CLUSTERS: Semaphore = Semaphore::const_new(MAX_CLUSTERS);
 
 fn run(schedule: &Schedule, change: impl Fn(&mut ClusterConfig)) -> RunReport {
-    let _slot = ClusterSlot::acquire();
     // Failed runs are kept in the build folder.
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let mut setup = setup(folder);
     change(&mut setup);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    runtime.block_on(run_schedule(schedule, &setup)).unwrap()
+    runtime.block_on(async {
+        let _permit = CLUSTERS.acquire().await.unwrap();
+        run_schedule(schedule, &setup).await.unwrap()
+    })
 }
 
 fn read(text: &str) -> Schedule {
--- a/crates/server/tests/overload.rs
+++ b/crates/server/tests/overload.rs
@@ -61,12 +61,7 @@
         let harness = ServerHarness::spawn(SERVER, true, |config| {
             config["agent"] = json!(machine.address);
             config["store"] = json!(store.address);
-            let settings = &mut config["settings"];
-            let info = &mut settings["FamilyInfo"];
-            (info["Cpus"], info["RamKb"]) = (json!(size.cores), json!(size.memory_kb));
-            info["Cold"] = json!(size.cold_fraction < 1.0);
-            settings["Contract"]["Cold"] = json!(size.warm_up.as_millis() as u64);
-            settings["Contract"]["ColdShare"] = json!(size.cold_fraction);
+            size.configure(config);
         });
         harness.wait_for_log("agent: connected");
         let load = LoadGenerator::start(harness.address, &machine, load);
--- a/crates/server/tests/shim/system_faults.c
+++ b/crates/server/tests/shim/system_faults.c
@@ -87,22 +87,21 @@
     return number ? fail(errors, 1, number) : syscall(SYS_epoll_pwait, fd, events, most, timeout, NULL, 8);
 }
 
-ssize_t recv(int fd, void *bytes, size_t length, int flags) {
+/* Returns how many of the bytes a read or write may move, or -1 if it shall be interrupted. */
+static ssize_t allowed(size_t length) {
     static const int errors[] = {EINTR};
     uint32_t number = fault();
     if (number % 4 == 1)
         return fail(errors, 1, number);
-    if (number && length)
-        length = 1 + number % length;
-    return syscall(SYS_recvfrom, fd, bytes, length, flags, NULL, NULL);
+    return number && length ? 1 + number % length : length;
+}
+
+ssize_t recv(int fd, void *bytes, size_t length, int flags) {
+    ssize_t most = allowed(length);
+    return most < 0 ? -1 : syscall(SYS_recvfrom, fd, bytes, most, flags, NULL, NULL);
 }
 
 ssize_t send(int fd, const void *bytes, size_t length, int flags) {
-    static const int errors[] = {EINTR};
-    uint32_t number = fault();
-    if (number % 4 == 1)
-        return fail(errors, 1, number);
-    if (number && length)
-        length = 1 + number % length;
-    return syscall(SYS_sendto, fd, bytes, length, flags, NULL, 0);
+    ssize_t most = allowed(length);
+    return most < 0 ? -1 : syscall(SYS_sendto, fd, bytes, most, flags, NULL, 0);
 }
--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -72,27 +72,18 @@
     store: &FaultyStore,
     shim: &Shim,
 ) -> String {
+    let store_states = [
+        StoreState::Refusing,
+        StoreState::Hanging,
+        StoreState::Breaking,
+        StoreState::Rejecting,
+        StoreState::Serving(Duration::from_millis(rng.random_range(20..800))),
+    ];
     let seed = rng.random();
     let fault = match rng.random_range(0..10) {
-        0 => {
-            store.set(StoreState::Refusing);
-            "store refuses".to_owned()
-        }
-        1 => {
-            store.set(StoreState::Hanging);
-            "store hangs".to_owned()
-        }
-        2 => {
-            store.set(StoreState::Breaking);
-            "store breaks connections".to_owned()
-        }
-        3 => {
-            store.set(StoreState::Rejecting);
-            "store rejects".to_owned()
-        }
-        4 => {
-            store.set(StoreState::Serving(Duration::from_millis(rng.random_range(20..800))));
-            "store is slow".to_owned()
+        index if index < store_states.len() => {
+            store.set(store_states[index]);
+            format!("store: {:?}", store_states[index])
         }
         5 => {
             let time = rng.random_range(20..=MAX_STANDSTILL_MS);
@@ -137,12 +128,7 @@
         config["agent"] = json!(machine.address);
         config["store"] = json!(store.address);
         config["stop_ms"] = json!(KILL_DELAY.as_millis() as u64);
-        let settings = &mut config["settings"];
-        let info = &mut settings["FamilyInfo"];
-        (info["Cpus"], info["RamKb"]) = (json!(size.cores), json!(size.memory_kb));
-        info["Cold"] = json!(size.cold_fraction < 1.0);
-        settings["Contract"]["Cold"] = json!(size.warm_up.as_millis() as u64);
-        settings["Contract"]["ColdShare"] = json!(size.cold_fraction);
+        size.configure(config);
     });
     harness.wait_for_log("agent: connected");
     let load = LoadGenerator::start(harness.address, &machine, load);
--- a/examples/toy/src/http.rs
+++ b/examples/toy/src/http.rs
@@ -124,7 +124,7 @@
 }
 
 /// Returns the next request, or `None` if the connection ends before it is complete.
-fn read_request(input: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
+pub(crate) fn read_request(input: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
     let (mut subject, mut length) = (String::new(), 0);
     loop {
         let mut line = String::new();
--- a/examples/toy/src/machine.rs
+++ b/examples/toy/src/machine.rs
@@ -43,6 +43,24 @@
     pub warm_up: Duration,
 }
 
+impl MachineSize {
+    /// Returns whether the machine starts cold.
+    pub fn starts_cold(&self) -> bool {
+        self.cold_fraction < 1.0
+    }
+
+    /// Adapts the configuration of a server to this machine.
+    pub fn configure(&self, config: &mut Value) {
+        let settings = &mut config["settings"];
+        let info = &mut settings["FamilyInfo"];
+        (info["Cpus"], info["RamKb"]) = (json!(self.cores), json!(self.memory_kb));
+        info["Cold"] = json!(self.starts_cold());
+        let contract = &mut settings["Contract"];
+        contract["Cold"] = json!(self.warm_up.as_millis() as u64);
+        contract["ColdShare"] = json!(self.cold_fraction);
+    }
+}
+
 /// A request that a gateway writes.
 #[derive(Clone, Copy, Debug)]
 pub struct BookedRequest {
@@ -289,7 +307,7 @@
     }
 
     fn greet(&mut self, last_notice: usize) {
-        let state = if self.size.cold_fraction < 1.0 { "starting" } else { "running" };
+        let state = if self.size.starts_cold() { "starting" } else { "running" };
         self.send(&json!({"op": "greeting", "end": state, "ms": 5}));
         let missed = last_notice.saturating_sub(self.dropped);
         let notices: Vec<Value> = self.notices.iter().skip(missed).cloned().collect();
--- a/examples/toy/src/shared_store.rs
+++ b/examples/toy/src/shared_store.rs
@@ -1,7 +1,8 @@
 //! A stand-in for a store under faults: it serves calls after a delay, or refuses, hangs or breaks connections.
 
+use crate::http::{read_request, ReceivedRequest};
 use crate::Monitor;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -76,7 +77,7 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nonblocking(false);
         let mut input = BufReader::new(stream);
-        let Some(body) = read_call(&mut input) else { return };
+        let Some(ReceivedRequest { body, .. }) = read_request(&mut input) else { return };
         let state = *self.state.lock();
         let reply = match state {
             StoreState::Serving(delay) => {
@@ -92,22 +93,3 @@
         let _ = input.get_mut().write_all(reply.as_bytes());
     }
 }
-
-/// Returns the body of a call, or `None` if the connection ends before it is complete.
-fn read_call(input: &mut BufReader<TcpStream>) -> Option<String> {
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if input.read_line(&mut line).unwrap_or_default() == 0 {
-            return None;
-        }
-        match line.trim_end().split_once(": ") {
-            Some(("Content-Length", value)) => length = value.parse().ok()?,
-            None if line.trim_end().is_empty() => break,
-            _ => {}
-        }
-    }
-    let mut body = vec![0; length];
-    input.read_exact(&mut body).ok()?;
-    String::from_utf8(body).ok()
-}
