Clock: a stamp a little ahead of this machine's clock is no hour old after a step

The age of a request was the least by either clock among those that its stamp is not ahead of.

Now a stamp may be ahead by 0.25 s and counts as new then. The test sends a request from a clock 50 ms ahead after each step; it failed on the first step before this change (503), and passes. A failed test prints the last lines of its server's log.

--- a/crates/server/src/runtime/clock.rs
+++ b/crates/server/src/runtime/clock.rs
@@ -3,6 +3,9 @@
 use std::sync::LazyLock;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+/// Largest difference between the clocks of two machines that are kept in step, in seconds.
+const MAX_CLOCK_SKEW_S: f64 = 0.25;
+
 /// Readings of the monotonic clock and the wall clock at the same moment.
 struct Anchor {
     monotonic: Instant,
@@ -29,11 +32,12 @@
     least_age(timestamp, now(), wall_clock())
 }
 
-/// Returns the age of a timestamp by the clock under which it is the least, among those that it is not ahead of.
+/// Returns the age of a timestamp by the clock under which it is the least, among those that it is not ahead of by more
+/// than the clocks of two machines differ.
 fn least_age(timestamp: f64, monotonic: f64, wall: f64) -> f64 {
     let ages = [monotonic - timestamp, wall - timestamp];
-    let least = ages.into_iter().filter(|age| *age >= 0.0).reduce(f64::min);
-    least.unwrap_or(0.0)
+    let least = ages.into_iter().filter(|age| *age >= -MAX_CLOCK_SKEW_S).reduce(f64::min);
+    least.unwrap_or(0.0).max(0.0)
 }
 
 #[cfg(test)]
--- a/crates/server/src/runtime/clock/tests.rs
+++ b/crates/server/src/runtime/clock/tests.rs
@@ -14,6 +14,8 @@
         let wall = unix + step;
         assert_eq!(least_age(unix - 0.5, unix, wall), 0.5, "this machine stepped by {step} s");
         assert_eq!(least_age(wall - 0.5, unix, wall), 0.5, "all machines stepped by {step} s");
+        assert_eq!(least_age(unix + 0.05, unix, wall), 0.0, "sent ahead, this machine stepped by {step} s");
+        assert_eq!(least_age(wall + 0.05, unix, wall), 0.0, "sent ahead, all machines stepped by {step} s");
     }
     assert_eq!(least_age(unix + 1.0, unix, unix), 0.0);
 }
--- a/crates/server/tests/system_faults.rs
+++ b/crates/server/tests/system_faults.rs
@@ -1,6 +1,6 @@
 //! A server process whose wall clock is stepped and whose system calls fail.
 
-use puffinladder_toy::gateway::Gateway;
+use puffinladder_toy::gateway::{unix_time_ms, Gateway};
 use puffinladder_toy::harness::ServerHarness;
 use puffinladder_toy::shim::{Shim, SystemFaults};
 use puffinladder_toy::WAIT_TIMEOUT;
@@ -11,6 +11,8 @@
 const SERVER: &str = env!("CARGO_BIN_EXE_puffinladder-server");
 const KEY: &str = ",k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 const HOUR_MS: i64 = 3_600_000;
+/// Difference between the clocks of two machines that are kept in step.
+const CLOCK_SKEW_MS: u128 = 50;
 
 /// Starts a server with the library for faults.
 fn start_server() -> (ServerHarness, Shim) {
@@ -53,7 +55,8 @@
     }
 }
 
-/// Guards against a step of the wall clock that ends the deadlines of open requests, or rejects all new ones as old.
+/// Guards against a step of the wall clock that ends the deadlines of open requests, or rejects new ones as old: all,
+/// or those of a gateway whose clock is a little ahead.
 #[test]
 fn requests_are_served_across_clock_steps() {
     let (harness, shim) = start_server();
@@ -64,6 +67,9 @@
         step_clock(&shim, step);
         harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + 5);
         assert_eq!(call_status(&mut second, "quote", "", b"quick"), "200", "step of {step} ms");
+        let sent_ahead = format!(",s={}", unix_time_ms() + CLOCK_SKEW_MS);
+        let status = call_status(&mut second, "quote", &sent_ahead, b"quick");
+        assert_eq!(status, "200", "step of {step} ms, sent by a clock {CLOCK_SKEW_MS} ms ahead");
         assert_eq!(call_status(&mut second, "quote", "", b"call text"), "200", "step of {step} ms");
     }
     harness.agent.finish_run(&attempt_id);
--- a/examples/toy/src/harness.rs
+++ b/examples/toy/src/harness.rs
@@ -34,6 +34,9 @@
 /// The line that is appended to the collected log once the process has closed its standard error.
 pub const END_OF_LOG: &str = "the log ends";
 
+/// Number of log lines that a failed test prints.
+const PRINTED_LOG_LINES: usize = 30;
+
 const EPHEMERAL: &str = "127.0.0.1:0";
 
 /// Starts `program` with `config` in a temporary file and collects its log line by line. Returns the process and the
@@ -182,9 +185,21 @@
     }
 }
 
+impl ServerHarness {
+    /// Prints the last lines of the server's log, which a failed test does not show otherwise.
+    fn print_log(&self) {
+        let log = self.log.lock();
+        let first_shown = log.len().saturating_sub(PRINTED_LOG_LINES);
+        log[first_shown..].iter().for_each(|line| println!("server: {line}"));
+    }
+}
+
 impl Drop for ServerHarness {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            self.print_log();
+        }
     }
 }
