Soak and fault tests: crowds, resets by other clients, broken links, failing disks

The soak lacked crowds, clients that reset their connections, and connections to agent and store that end with ETIMEDOUT or EHOSTUNREACH; no test failed a disk. The shim now breaks connections that the process has opened and fails writes and syncs of files. The soak's faults are one scene in place of five arguments, and its bounds hold after the drain too.

A server's trace is written again after ENOSPC and EIO, and its requests are answered meanwhile: no fault found there.

--- a/crates/server/tests/shim/system_faults.c
+++ b/crates/server/tests/shim/system_faults.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
@@ -19,8 +20,15 @@
     uint32_t seed;
     /* If not 0: only accepts fail, with this error. */
     uint32_t accept_error;
+    /* One in this many reads and writes on a connection that the process has opened finds it broken; 0 for none. */
+    uint32_t break_one_in;
+    /* If not 0: every write to a regular file, and its sync, fails with this error. */
+    uint32_t disk_error;
 };
 
+#define MAX_DESCRIPTORS 4096
+static volatile char opened_by_process[MAX_DESCRIPTORS];
+
 static struct control none;
 static volatile struct control *control = &none;
 static uint32_t calls;
@@ -36,9 +44,8 @@
     close(file);
 }
 
-/* Returns a number from 1 if the present call shall fail, else 0. */
-static uint32_t fault(void) {
-    uint32_t one_in = control->fail_one_in;
+/* Returns a number from 1 if the present call, one in one_in, shall fail, else 0. */
+static uint32_t draw(uint32_t one_in) {
     if (!one_in || control->accept_error)
         return 0;
     uint32_t x = __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED) * 2654435761u + control->seed;
@@ -48,6 +55,8 @@
     return x % one_in ? 0 : 1 + (x / one_in) % 1000;
 }
 
+static uint32_t fault(void) { return draw(control->fail_one_in); }
+
 static int fail(const int *errors, uint32_t count, uint32_t number) {
     errno = errors[number % count];
     return -1;
@@ -66,13 +75,22 @@
     if (only_error)
         return fail(&only_error, 1, 0);
     uint32_t number = fault();
-    return number ? fail(errors, 4, number) : syscall(SYS_accept4, fd, address, length, flags);
+    if (number)
+        return fail(errors, 4, number);
+    int accepted = syscall(SYS_accept4, fd, address, length, flags);
+    if (accepted >= 0 && accepted < MAX_DESCRIPTORS)
+        opened_by_process[accepted] = 0;
+    return accepted;
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH};
     uint32_t number = fault();
-    return number ? fail(errors, 3, number) : syscall(SYS_connect, fd, address, length);
+    if (number)
+        return fail(errors, 3, number);
+    if (fd >= 0 && fd < MAX_DESCRIPTORS)
+        opened_by_process[fd] = 1;
+    return syscall(SYS_connect, fd, address, length);
 }
 
 int socket(int domain, int type, int protocol) {
@@ -96,12 +114,51 @@
     return number && length ? 1 + number % length : length;
 }
 
+/* Breaks a connection that the process has opened, if it is its turn. Returns whether it is broken. */
+static int breaks(int fd) {
+    static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
+    if (fd < 0 || fd >= MAX_DESCRIPTORS || !opened_by_process[fd])
+        return 0;
+    uint32_t number = draw(control->break_one_in);
+    if (!number)
+        return 0;
+    syscall(SYS_shutdown, fd, SHUT_RDWR);
+    fail(errors, 2, number);
+    return 1;
+}
+
 ssize_t recv(int fd, void *bytes, size_t length, int flags) {
+    if (breaks(fd))
+        return -1;
     ssize_t most = allowed(length);
     return most < 0 ? -1 : syscall(SYS_recvfrom, fd, bytes, most, flags, NULL, NULL);
 }
 
 ssize_t send(int fd, const void *bytes, size_t length, int flags) {
+    if (breaks(fd))
+        return -1;
     ssize_t most = allowed(length);
     return most < 0 ? -1 : syscall(SYS_sendto, fd, bytes, most, flags, NULL, 0);
 }
+
+/* Returns whether the disk of this file fails at present. */
+static int disk_fails(int fd) {
+    struct stat status;
+    int error = control->disk_error;
+    if (!error || fstat(fd, &status) != 0 || !S_ISREG(status.st_mode))
+        return 0;
+    errno = error;
+    return 1;
+}
+
+ssize_t write(int fd, const void *bytes, size_t length) {
+    return disk_fails(fd) ? -1 : syscall(SYS_write, fd, bytes, length);
+}
+
+ssize_t pwrite64(int fd, const void *bytes, size_t length, off64_t offset) {
+    return disk_fails(fd) ? -1 : syscall(SYS_pwrite64, fd, bytes, length, offset);
+}
+
+int fsync(int fd) { return disk_fails(fd) ? -1 : syscall(SYS_fsync, fd); }
+
+int fdatasync(int fd) { return disk_fails(fd) ? -1 : syscall(SYS_fdatasync, fd); }
--- a/crates/server/tests/soak.rs
+++ b/crates/server/tests/soak.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
+use std::io::Write;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -23,6 +24,10 @@
 /// Faults of one seed.
 const FAULTS: usize = 12;
 const CALL_TIME: Duration = Duration::from_millis(20);
+/// Most clients of a crowd, as a multiple of the usual ones.
+const MAX_CROWD_FACTOR: u32 = 5;
+/// Connections of other clients that are reset at once.
+const RESET_CONNECTIONS: usize = 8;
 /// Longest standstill of the process.
 const MAX_STANDSTILL_MS: u64 = 300;
 /// Earliest time from SIGTERM to SIGKILL with deadlines of 3 s or more.
@@ -64,102 +69,153 @@
     (size, load)
 }
 
-/// Makes one fault and waits a moment.
-fn inject(
-    rng: &mut ChaCha8Rng,
-    harness: &ServerHarness,
-    machine: &Machine,
-    store: &FaultyStore,
-    shim: &Shim,
-) -> String {
-    let store_states = [
-        StoreState::Refusing,
-        StoreState::Hanging,
-        StoreState::Breaking,
-        StoreState::Rejecting,
-        StoreState::Serving(Duration::from_millis(rng.random_range(20..800))),
-    ];
-    let seed = rng.random();
-    let fault = match rng.random_range(0..10) {
-        index if index < store_states.len() => {
-            store.set(store_states[index]);
-            format!("store: {:?}", store_states[index])
-        }
-        5 => {
-            let time = rng.random_range(20..=MAX_STANDSTILL_MS);
-            harness.pause();
-            thread::sleep(Duration::from_millis(time));
-            harness.resume();
-            format!("standstill of {time} ms")
-        }
-        6 => {
-            machine.disconnect();
-            "link to the agent breaks".to_owned()
-        }
-        7 => {
-            let clock_step_ms = rng.random_range(-3600..=3600) * 1000;
-            shim.set(SystemFaults { clock_step_ms, ..SystemFaults::default() });
-            format!("clock at {clock_step_ms} ms")
+/// A server process and everything around it.
+struct Scene {
+    harness: ServerHarness,
+    machine: Machine,
+    store: FaultyStore,
+    shim: Shim,
+    load: LoadGenerator,
+}
+
+impl Scene {
+    fn start(size: MachineSize, load: Load) -> Scene {
+        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shim/system_faults.c");
+        let shim = Shim::compile(&source, Path::new(env!("CARGO_TARGET_TMPDIR")));
+        let command_line = shim.command_line(&[SERVER]);
+        let program: Vec<&str> = command_line.iter().map(String::as_str).collect();
+        let (machine, store) = (Machine::start(size), FaultyStore::start(CALL_TIME));
+        let harness = ServerHarness::spawn(&program, true, |config| {
+            config["agent"] = json!(machine.address);
+            config["store"] = json!(store.address);
+            config["stop_ms"] = json!(KILL_DELAY.as_millis() as u64);
+            size.configure(config);
+        });
+        harness.wait_for_log("agent: connected");
+        let load = LoadGenerator::start(harness.address, &machine, load);
+        Scene { harness, machine, store, shim, load }
+    }
+
+    /// Makes one fault and waits a moment. Returns what it was.
+    fn inject(&self, rng: &mut ChaCha8Rng) -> String {
+        let fault = match rng.random_range(0..13) {
+            0..5 => self.change_store(rng),
+            5 => {
+                let time = rng.random_range(20..=MAX_STANDSTILL_MS);
+                self.harness.pause();
+                thread::sleep(Duration::from_millis(time));
+                self.harness.resume();
+                format!("standstill of {time} ms")
+            }
+            6 => {
+                self.machine.disconnect();
+                "link to the agent breaks".to_owned()
+            }
+            7..10 => self.set_system_faults(rng),
+            10 => {
+                let factor = rng.random_range(2..=MAX_CROWD_FACTOR);
+                self.load.set_rate_factor(factor);
+                format!("a crowd of {factor} times the clients")
+            }
+            11 => {
+                self.reset_connections();
+                "other clients reset their connections".to_owned()
+            }
+            _ => {
+                self.end_faults();
+                "all well".to_owned()
+            }
+        };
+        thread::sleep(Duration::from_millis(rng.random_range(100..2500)));
+        fault
+    }
+
+    fn change_store(&self, rng: &mut ChaCha8Rng) -> String {
+        let states = [
+            StoreState::Refusing,
+            StoreState::Hanging,
+            StoreState::Breaking,
+            StoreState::Rejecting,
+            StoreState::Serving(Duration::from_millis(rng.random_range(20..800))),
+        ];
+        let state = states[rng.random_range(0..states.len())];
+        self.store.set(state);
+        format!("store: {state:?}")
+    }
+
+    fn set_system_faults(&self, rng: &mut ChaCha8Rng) -> String {
+        let seed = rng.random();
+        let faults = [
+            SystemFaults { clock_step_ms: rng.random_range(-3600..=3600) * 1000, ..SystemFaults::default() },
+            SystemFaults { fail_one_in: rng.random_range(4..40), seed, ..SystemFaults::default() },
+            SystemFaults { break_one_in: rng.random_range(20..2000), seed, ..SystemFaults::default() },
+        ];
+        let faults = faults[rng.random_range(0..faults.len())];
+        self.shim.set(faults);
+        format!("{faults:?}")
+    }
+
+    /// Opens connections and closes them, each with an open request, half a message, and an unread answer, so that they
+    /// are reset.
+    fn reset_connections(&self) {
+        for _ in 0..RESET_CONNECTIONS {
+            let mut gateway = self.harness.connect_gateway();
+            gateway.call("quote", "", b"its client goes away");
+            gateway.send(&[b"CHECK", b"2", b""]);
+            gateway.stream.write_all(b"*3\r\n$4").expect("the server accepts a command");
+            gateway.wait_readable();
         }
-        8 => {
-            shim.set(SystemFaults { fail_one_in: rng.random_range(4..40), seed, ..SystemFaults::default() });
-            "system calls fail".to_owned()
+    }
+
+    fn end_faults(&self) {
+        self.shim.set(SystemFaults::default());
+        self.store.set(StoreState::Serving(CALL_TIME));
+        self.load.set_rate_factor(1);
+    }
+
+    /// Returns whether a request completes within a moment.
+    fn completes_requests(&self) -> bool {
+        thread::sleep(Duration::from_secs(2));
+        let before = self.load.counts().completed;
+        thread::sleep(Duration::from_secs(2));
+        self.load.counts().completed > before
+    }
+
+    /// Returns what the machine and its clients have seen, or it as an error if the machine fell over or a request has no
+    /// answer.
+    fn verdict(&self, story: &str) -> Result<String, String> {
+        let (peak, counts) = (self.machine.peak(), self.load.counts());
+        let story = format!("{story}; {peak:?}, {counts:?}");
+        if peak.memory > 1.0 || peak.cores > 1.0 {
+            return Err(format!("the machine fell over: {story}"));
         }
-        _ => {
-            store.set(StoreState::Serving(CALL_TIME));
-            shim.set(SystemFaults::default());
-            "all well".to_owned()
+        if counts.given_up + counts.lost > 0 {
+            return Err(format!("requests without an answer in time: {story}"));
         }
-    };
-    thread::sleep(Duration::from_millis(rng.random_range(100..2500)));
-    fault
+        Ok(story)
+    }
 }
 
 /// Plays one seed. Returns what went wrong.
 fn play(seed: u64) -> Result<String, String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (size, load) = draw(&mut rng, seed);
-    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shim/system_faults.c");
-    let shim = Shim::compile(&source, Path::new(env!("CARGO_TARGET_TMPDIR")));
-    let command_line = shim.command_line(&[SERVER]);
-    let program: Vec<&str> = command_line.iter().map(String::as_str).collect();
-    let (machine, store) = (Machine::start(size), FaultyStore::start(CALL_TIME));
-    let mut harness = ServerHarness::spawn(&program, true, |config| {
-        config["agent"] = json!(machine.address);
-        config["store"] = json!(store.address);
-        config["stop_ms"] = json!(KILL_DELAY.as_millis() as u64);
-        size.configure(config);
-    });
-    harness.wait_for_log("agent: connected");
-    let load = LoadGenerator::start(harness.address, &machine, load);
-    let mut faults = Vec::new();
+    let mut scene = Scene::start(size, load);
+    let mut story = format!("seed {seed}, {size:?}: ");
     for _ in 0..FAULTS {
-        faults.push(inject(&mut rng, &harness, &machine, &store, &shim));
-        let (peak, counts) = (machine.peak(), load.counts());
-        let story = format!("seed {seed}, {size:?}: {}; {peak:?}, {counts:?}", faults.join(", "));
-        if peak.memory > 1.0 || peak.cores > 1.0 {
-            return Err(format!("the machine fell over: {story}"));
-        }
-        if counts.given_up + counts.lost > 0 {
-            return Err(format!("requests without an answer in time: {story}"));
-        }
-    }
-    shim.set(SystemFaults::default());
-    store.set(StoreState::Serving(CALL_TIME));
-    thread::sleep(Duration::from_secs(2));
-    let before = load.counts().completed;
-    thread::sleep(Duration::from_secs(2));
-    let completes = load.counts().completed > before;
-    drain(&mut harness);
-    let (peak, counts) = (machine.peak(), load.counts());
-    let story = format!("seed {seed}: {}; {peak:?}, {counts:?}", faults.join(", "));
-    if !completes {
-        return Err(format!("nothing completes after the faults: {story}"));
+        story += &scene.inject(&mut rng);
+        story += ", ";
+        scene.verdict(&story)?;
     }
-    if counts.lost + counts.given_up > 0 {
-        return Err(format!("requests without an answer after the drain: {story}"));
+    scene.end_faults();
+    let completes = scene.completes_requests();
+    drain(&mut scene.harness);
+    let story = scene.verdict(&story)?;
+    if completes {
+        Ok(story)
+    } else {
+        Err(format!("nothing completes after the faults: {story}"))
     }
-    Ok(story)
 }
 
 /// Sends SIGTERM, more signals after it, and SIGKILL at its earliest, while the load goes on.
--- a/crates/server/tests/system_faults.rs
+++ b/crates/server/tests/system_faults.rs
@@ -4,7 +4,7 @@
 use puffinladder_toy::harness::ServerHarness;
 use puffinladder_toy::shim::{Shim, SystemFaults};
 use puffinladder_toy::WAIT_TIMEOUT;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::Instant;
 
@@ -93,39 +93,81 @@
     assert_eq!((response.tag, response.status.as_str()), (tag, "200"));
 }
 
-/// Guards against a step of the wall clock back, after which the trace was not written until the clock had caught up.
-#[test]
-fn trace_is_written_after_a_clock_step_back() {
-    let folder = tempfile::tempdir().expect("a temporary folder can be made");
-    let (traces, settings) = (folder.path().join("traces"), folder.path().join("settings.scm"));
-    let text = format!("(trace (folder \"{}\") (block-span 1s))", traces.display());
-    std::fs::write(&settings, text).expect("the settings can be written");
-    let (harness, shim) =
-        start_program(&["env", &format!("PUFFINLADDER_SETTINGS={}", settings.display()), SERVER]);
-    let mut gateway = harness.connect_gateway();
-    let written = || -> u64 {
-        let files = std::fs::read_dir(&traces).into_iter().flatten().flatten();
+/// A server that writes a trace.
+struct TracedServer {
+    harness: ServerHarness,
+    shim: Shim,
+    traces: PathBuf,
+    /// Removed with everything in it when the test ends.
+    _folder: tempfile::TempDir,
+}
+
+impl TracedServer {
+    fn start() -> TracedServer {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let (traces, settings) = (folder.path().join("traces"), folder.path().join("settings.scm"));
+        let text = format!("(trace (folder \"{}\") (block-span 1s))", traces.display());
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let settings = format!("PUFFINLADDER_SETTINGS={}", settings.display());
+        let (harness, shim) = start_program(&["env", &settings, SERVER]);
+        TracedServer { harness, shim, traces, _folder: folder }
+    }
+
+    fn written_bytes(&self) -> u64 {
+        let files = std::fs::read_dir(&self.traces).into_iter().flatten().flatten();
         files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len()).sum()
-    };
-    let wait_for_polls =
-        |count| harness.agent.wait_for_commands("sample", harness.agent.command_count("sample", "") + count);
-    let await_growth = |before: u64| {
+    }
+
+    fn wait_for_polls(&self, count: usize) {
+        let seen = self.harness.agent.command_count("sample", "");
+        self.harness.agent.wait_for_commands("sample", seen + count);
+    }
+
+    fn wait_for_growth(&self, before: u64) {
         let started_at = Instant::now();
-        while written() <= before {
+        while self.written_bytes() <= before {
             assert!(started_at.elapsed() < WAIT_TIMEOUT, "nothing written within {WAIT_TIMEOUT:?}");
             thread::yield_now();
         }
-    };
+    }
+}
+
+/// Guards against a step of the wall clock back, after which the trace was not written until the clock had caught up.
+#[test]
+fn trace_is_written_after_a_clock_step_back() {
+    let server = TracedServer::start();
+    let mut gateway = server.harness.connect_gateway();
     assert_eq!(call_status(&mut gateway, "quote", "", b"a first request"), "200");
-    await_growth(0);
+    server.wait_for_growth(0);
     // The file's head comes first, then its first block.
-    wait_for_polls(10);
+    server.wait_for_polls(10);
     // This record waits for its block to be written when the clock steps.
-    let before = written();
+    let before = server.written_bytes();
     assert_eq!(call_status(&mut gateway, "quote", "", b"before the step"), "200");
-    wait_for_polls(10);
-    step_clock(&shim, -HOUR_MS);
-    await_growth(before);
+    server.wait_for_polls(10);
+    step_clock(&server.shim, -HOUR_MS);
+    server.wait_for_growth(before);
+}
+
+/// Guards against a disk that fails for a while and ends the service of requests, or the trace for good.
+#[test]
+fn trace_is_written_again_after_disk_errors() {
+    const ENOSPC: u32 = 28;
+    const EIO: u32 = 5;
+    let server = TracedServer::start();
+    let mut gateway = server.harness.connect_gateway();
+    assert_eq!(call_status(&mut gateway, "quote", "", b"a first request"), "200");
+    server.wait_for_growth(0);
+    for disk_error in [ENOSPC, EIO] {
+        server.shim.set(SystemFaults { disk_error, ..SystemFaults::default() });
+        assert_eq!(call_status(&mut gateway, "quote", "", b"while the disk fails"), "200");
+        server.harness.wait_for_log(&format!("(os error {disk_error})"));
+        assert_eq!(call_status(&mut gateway, "quote", "", b"still failing"), "200");
+        let before = server.written_bytes();
+        server.shim.set(SystemFaults::default());
+        assert_eq!(call_status(&mut gateway, "quote", "", b"the disk is well"), "200");
+        server.wait_for_growth(before);
+    }
 }
 
 /// Guards against system calls that fail for a moment or do less than asked: every request gets its answer.
--- a/examples/toy/src/load.rs
+++ b/examples/toy/src/load.rs
@@ -9,7 +9,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -95,6 +95,7 @@
 pub struct LoadGenerator {
     state: Arc<Monitor<LoadState>>,
     stopped: Arc<AtomicBool>,
+    rate_factor: Arc<AtomicU32>,
     /// Answers stay unread while it is set.
     pub reading_paused: Arc<AtomicBool>,
 }
@@ -104,6 +105,7 @@
     pub fn start(address: SocketAddr, machine: &Machine, load: Load) -> LoadGenerator {
         let state: Arc<Monitor<LoadState>> = Arc::default();
         let (stopped, reading_paused) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        let rate_factor = Arc::new(AtomicU32::new(1));
         let mut streams = Vec::new();
         for connection in 0..CONNECTIONS {
             let gateway = Gateway::connect(address);
@@ -123,11 +125,17 @@
             machine: machine.clone(),
             streams,
             state: state.clone(),
+            rate_factor: rate_factor.clone(),
             last_tag: 0,
         };
         let sender_stopped = stopped.clone();
         thread::spawn(move || sender.run(&sender_stopped));
-        LoadGenerator { state, stopped, reading_paused }
+        LoadGenerator { state, stopped, rate_factor, reading_paused }
+    }
+
+    /// Multiplies the rate of new requests: a crowd of clients comes, or goes with a factor of 1.
+    pub fn set_rate_factor(&self, factor: u32) {
+        self.rate_factor.store(factor, Ordering::Relaxed);
     }
 
     /// Returns the counts so far.
@@ -196,6 +204,7 @@
     machine: Machine,
     streams: Vec<TcpStream>,
     state: Arc<Monitor<LoadState>>,
+    rate_factor: Arc<AtomicU32>,
     last_tag: u64,
 }
 
@@ -204,12 +213,13 @@
         let mut next_arrivals = self.load.classes.map(|_| Instant::now());
         while !stopped.load(Ordering::Relaxed) {
             let now = Instant::now();
+            let rate_factor = f64::from(self.rate_factor.load(Ordering::Relaxed));
             for (class, next_arrival) in self.load.classes.into_iter().zip(&mut next_arrivals) {
                 while *next_arrival <= now {
                     let attempt = self.new_attempt(class, *next_arrival);
                     self.send(attempt);
                     let gap = -(1.0 - self.rng.random::<f64>()).ln() / class.rate;
-                    *next_arrival += Duration::from_secs_f64(gap);
+                    *next_arrival += Duration::from_secs_f64(gap / rate_factor);
                 }
             }
             let due: Vec<Attempt> =
--- a/examples/toy/src/shim.rs
+++ b/examples/toy/src/shim.rs
@@ -15,6 +15,11 @@
     pub seed: u32,
     /// If not 0, only accepts fail, with this error number.
     pub accept_error: u32,
+    /// One in this many reads and writes on connections that the process has opened finds the connection broken, with
+    /// ETIMEDOUT or EHOSTUNREACH; 0 for none.
+    pub break_one_in: u32,
+    /// If not 0, writes and syncs of files fail with this error number.
+    pub disk_error: u32,
 }
 
 /// The library, compiled from a source file, and its control file for one process.
@@ -53,6 +58,8 @@
         bytes.extend(faults.fail_one_in.to_le_bytes());
         bytes.extend(faults.seed.to_le_bytes());
         bytes.extend(faults.accept_error.to_le_bytes());
+        bytes.extend(faults.break_one_in.to_le_bytes());
+        bytes.extend(faults.disk_error.to_le_bytes());
         // The file keeps its place on disk, which the process has mapped.
         let file = fs::OpenOptions::new().write(true).create(true).truncate(false).open(&self.control);
         let written = file.and_then(|mut file| std::io::Write::write_all(&mut file, &bytes));
