--- a/crates/control/src/plan/capacity.rs
+++ b/crates/control/src/plan/capacity.rs
@@ -11,7 +11,7 @@
 
 /// Fraction by which full pressure reduces a server's capacity: the servers' own admission policy reduces it by as much.
 const PRESSURE_REDUCTION: f64 = 0.6;
-/// Cap of a server's capacity per core, as a multiple of the fleet's median: guards against false reports.
+/// Cap of a server's capacity per core, as a multiple of the fleet's median: machines differ by less, false reports by more.
 pub(super) const MAX_OVER_MEDIAN: f64 = 2.0;
 /// Time constant of a server's smoothed capacity, seconds: pressure follows the share with a delay, and unsmoothed
 /// shares oscillate.
--- a/crates/control/src/plan/rebalance.rs
+++ b/crates/control/src/plan/rebalance.rs
@@ -8,17 +8,20 @@
 
 /// Relative difference from the target below which a share does not move: about the jitter of reports.
 const DEADBAND: f64 = 0.05;
-/// Maximum move of a share per second, as a fraction of the share or of the mean share.
+/// Maximum move of a share per second, as a fraction of the share or of the mean share: a slow machine is noticed within one or
+/// two seconds.
 pub(super) const MAX_SHARE_STEP: f64 = 0.5;
-/// Maximum fraction of a zone's load that moves per second, except away from excluded servers.
+/// Maximum fraction of a zone's load that moves per second, except away from excluded servers: callers' connections follow about as
+/// fast.
 pub(super) const MAX_ZONE_STEP: f64 = 0.15;
 /// Minimum time between moves in opposite directions, seconds: longer than the effect of a move takes to be reported.
 const REVERSAL_DELAY: f64 = 1.0;
 /// Smallest change of a share that counts as a move; less is rounding.
 const MIN_MOVE: f64 = 1e-9;
-/// Requests that one proxy may have in flight at a server, as a multiple of the server's concurrency limit.
+/// Requests that one proxy may have in flight at a server, as a multiple of the server's concurrency limit: many proxies share the
+/// limit, and none knows the others' requests.
 const PROXY_LIMIT_FACTOR: f64 = 4.0;
-/// Maximum number of requests that one proxy may have in flight at a server.
+/// Maximum number of requests that one proxy may have in flight at a server: beyond any server's limit, within what proxies accept.
 const MAX_PROXY_REQUESTS: f64 = 1e6;
 
 /// A share in the last plan and its last move.
--- a/crates/control/src/plan/spillover.rs
+++ b/crates/control/src/plan/spillover.rs
@@ -10,7 +10,7 @@
 const RECEIVE_UTILIZATION: f64 = 0.8;
 /// Maximum change of a zone's spill fraction per second.
 pub(super) const MAX_SPILL_STEP: f64 = 0.1;
-/// Time constant of a zone's smoothed source load, seconds.
+/// Time constant of a zone's smoothed source load, seconds: a few reports.
 const LOAD_TIME_CONSTANT: f64 = 2.0;
 /// Upper bound of the spill fraction when the source load is derived from the load of the zone's servers: avoids
 /// division by zero.
--- a/crates/control/src/shedding.rs
+++ b/crates/control/src/shedding.rs
@@ -20,13 +20,13 @@
 const FALL_RATE: f64 = RISE_GAIN * TARGET_REJECTED;
 /// Fall of the dropped fraction per second once servers reject nothing and have spare cores.
 const RECOVERY_RATE: f64 = 0.15;
-/// Smoothed rejected fraction below which servers count as rejecting nothing.
+/// Smoothed rejected fraction below which servers count as rejecting nothing: well below the target, above a smoothed zero.
 const MIN_REJECTED_FRACTION: f64 = TARGET_REJECTED / 10.0;
 /// Mean pressure below which the fleet has spare cores.
 const LOW_PRESSURE: f64 = 0.1;
 /// Maximum dropped fraction: the remaining requests show when the class can be served again.
 const MAX_DROP: f64 = 0.95;
-/// Time constant of the smoothed rejected fraction, seconds.
+/// Time constant of the smoothed rejected fraction, seconds: one report holds few requests.
 const REJECTED_TIME_CONSTANT: f64 = 0.5;
 /// Smallest dropped fraction for which a rule is emitted.
 const MIN_DROP: f64 = 0.01;
