--- a/crates/proving/src/cluster.rs
+++ b/crates/proving/src/cluster.rs
@@ -54,7 +54,8 @@
     pub keep: bool,
     /// Bug injected into the trace store, which the checkers must find.
     pub injected_bug: Option<InjectedBug>,
-    /// Whether the schedule begins once every task is leased, not as soon as all processes are ready.
+    /// Whether the schedule begins once every task is leased and every worker holds a lease, not as soon as all processes are
+    /// ready.
     pub starts_leased: bool,
 }
 
@@ -455,7 +456,9 @@
             return Err(format!("not ready after {READY_TIMEOUT_S} s: {}", silent.join("; ")));
         }
         if self.config.starts_leased {
-            self.wait_until_leased(self.now() + READY_TIMEOUT_S).await?;
+            let workers = self.schedule.workers;
+            let missing = |rows: &[LeaseRow]| [vacant_tasks(rows), idle_workers(rows, workers)].concat();
+            self.wait_for_leases(self.now() + READY_TIMEOUT_S, missing).await?;
         }
         self.started_at = Instant::now();
         let (steps, done) = (mpsc::unbounded_channel(), tokio::sync::watch::channel(false));
@@ -719,7 +722,7 @@
         let bound = REASSIGNMENT_TERMS * self.schedule.lease_term
             + REASSIGNMENT_SLACK_S
             + if self.replacements.is_empty() { 0.0 } else { RECOVERY_TIMEOUT_S };
-        let owned = self.wait_until_leased(from + bound).await;
+        let owned = self.wait_for_leases(from + bound, vacant_tasks).await;
         match owned {
             Ok(()) => run.reassignment_time = self.now() - from,
             Err(what) => run.failures.push(format!("{:.1} s after the last fault {what}", self.now() - from)),
@@ -777,22 +780,24 @@
         Ok(())
     }
 
-    async fn wait_until_leased(&mut self, until: f64) -> Result<(), String> {
+    /// Waits until nothing is `missing` from the leases. Fails at time `until`, with what is missing then.
+    async fn wait_for_leases(
+        &mut self,
+        until: f64,
+        missing: impl Fn(&[LeaseRow]) -> Vec<String>,
+    ) -> Result<(), String> {
         loop {
             let replicas = self.replica_addresses();
-            let vacant = match request_leader(&replicas, &ReplicaRequest::Tasks).await {
-                Some(ReplicaReply::Tasks { leases: rows, .. }) => {
-                    let vacant = |row: &&LeaseRow| row.task.name != PAUSED_TASK && row.holder.is_none();
-                    rows.iter().filter(vacant).map(|row| row.task.to_string()).collect::<Vec<_>>()
-                }
+            let missing = match request_leader(&replicas, &ReplicaRequest::Tasks).await {
+                Some(ReplicaReply::Tasks { leases: rows, .. }) => missing(&rows),
                 _ => vec!["no replica answered as leader: holders are unknown".into()],
             };
             self.collect_events();
-            if vacant.is_empty() {
+            if missing.is_empty() {
                 return Ok(());
             }
             if self.now() > until {
-                return Err(format!("tasks without a holder: {}", vacant.join(", ")));
+                return Err(format!("leases are missing: {}", missing.join(", ")));
             }
             tokio::time::sleep(Duration::from_secs_f64(POLL_INTERVAL_S)).await;
         }
@@ -869,6 +874,21 @@
     }
 }
 
+/// Returns the tasks without a holder, but the one that is paused from the start.
+fn vacant_tasks(rows: &[LeaseRow]) -> Vec<String> {
+    let vacant = rows.iter().filter(|row| row.task.name != PAUSED_TASK && row.holder.is_none());
+    vacant.map(|row| format!("{} has no holder", row.task)).collect()
+}
+
+/// Returns the workers, numbered from 1, that hold no lease.
+fn idle_workers(rows: &[LeaseRow], workers: usize) -> Vec<String> {
+    let names = (1..=workers).map(|number| ProcessId::Worker(number).to_string());
+    let is_idle = |name: &String| {
+        !rows.iter().any(|row| row.holder.as_ref().is_some_and(|holder| holder.instance == *name))
+    };
+    names.filter(is_idle).map(|name| format!("{name} holds no lease")).collect()
+}
+
 fn export_rows(folder: &Path) -> Result<(RowCounts, u64), String> {
     let (store, _) = puffinladder_trace_store::store::Store::open(&folder.join("archive"), u64::MAX)
         .map_err(|e| e.to_string())?;
