--- a/crates/server/tests/system_faults.rs
+++ b/crates/server/tests/system_faults.rs
@@ -154,11 +154,12 @@
 fn trace_is_written_again_after_disk_errors() {
     const ENOSPC: u32 = 28;
     const EIO: u32 = 5;
-    let server = TracedServer::start();
-    let mut gateway = server.harness.connect_gateway();
-    assert_eq!(call_status(&mut gateway, "quote", "", b"a first request"), "200");
-    server.wait_for_growth(0);
     for disk_error in [ENOSPC, EIO] {
+        // Only the first of a series of failures is logged: each error has a server of its own.
+        let server = TracedServer::start();
+        let mut gateway = server.harness.connect_gateway();
+        assert_eq!(call_status(&mut gateway, "quote", "", b"a first request"), "200");
+        server.wait_for_growth(0);
         server.shim.set(SystemFaults { disk_error, ..SystemFaults::default() });
         assert_eq!(call_status(&mut gateway, "quote", "", b"while the disk fails"), "200");
         server.harness.wait_for_log(&format!("(os error {disk_error})"));
