--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -111,7 +111,13 @@
         std::process::exit(2);
     }
     drop(server);
-    let ran = deliveries > 1000 && (breaks > 10 || !has_trouble());
+    // A run counts only if nearly all tries were answered, and the link was opened anew after most breaks.
+    let answered: u64 = words.values().sum();
+    let linked = if has_trouble() { links > 20 } else { links == 1 };
+    let ran = sent > 10_000 && answered * 100 >= sent * 95 && deliveries >= sent && linked;
+    if !ran {
+        record.say("too little happened for a verdict");
+    }
     std::process::exit(if !wrong.is_empty() {
         1
     } else if ran {
