--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -229,6 +229,8 @@
     timers: Timers,
     /// Time between the arrival of a command and its reading, and between a notice and its sending, s.
     pub delay: f64,
+    /// Whether there is a call between two pieces of work.
+    calls: bool,
 }
 
 /// A thread that calls closures at their time, in order.
@@ -309,6 +311,7 @@
             halt,
             timers: Timers::start(),
             delay: 0.0,
+            calls: true,
         }
     }
 
@@ -318,6 +321,12 @@
         self
     }
 
+    /// Runs make no calls: their pieces of work follow each other.
+    pub fn without_calls(mut self) -> Agent {
+        self.calls = false;
+        self
+    }
+
     pub fn with_delay(mut self, delay: f64) -> Agent {
         self.delay = delay;
         self
@@ -523,6 +532,9 @@
         if last {
             return self.end(id, "fine");
         }
+        if !self.calls {
+            return self.work(id);
+        }
         if over {
             return self.end(id, "broken_off");
         }
