review: scripts end the servers however a case ends

A case that could not go on, or was stopped by a signal, left its servers running: the stand-in is ended without a chance to stop them. Each server's process id now stands in the working folder until it is ended, and run.sh ends what is left.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,12 +6,21 @@
 WORK=$(mktemp -d) || exit 2
 RECORD="$here/record.txt"
 export ROOT WORK RECORD
-trap 'rm -rf "$WORK"' EXIT
+child=
+clean() {
+    for pid in $child $(cat "$WORK"/*/pid 2>/dev/null); do kill -KILL "$pid" 2>/dev/null; done
+    rm -rf "$WORK"
+}
+trap clean EXIT
+trap 'exit 2' INT TERM HUP
 case="$ROOT/target/review-2/case-$number"
 if [ ! -x "$case" ] || [ ! -x "$ROOT/target/release/puffinladder-server" ]; then
     echo "build first: the build of deploy/balancer.toml, then review/build-2.sh" >&2
     exit 2
 fi
-"$case"
+"$case" &
+child=$!
+wait "$child"
 status=$?
+child=
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -949,6 +949,8 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| could_not_run(&format!("the server: {e}")));
+        // The script ends what this file still names, however the case ends.
+        std::fs::write(folder.join("pid"), child.id().to_string()).expect("the file of the process id");
         let mut server = Server { child, address, folder };
         server.wait_until_ready();
         server
@@ -987,6 +989,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(self.folder.join("pid"));
     }
 
     /// The server's log.
