Never repeat a launch that may start a second run of a keyed request

Cause: ClassCalls says that requests of a class may call. The recovery took it as "each run calls, so its notice is read before it ends" and sent the launch again. A run that made no call and ended before the agent read the second launch was started anew.

Change: a launch that may have been read is repeated only for classes that may run again. Other requests are in doubt until the next notice, and fail in time if none comes. Pausing the run first (freeze, sample, launch) was weighed and left: a run off the cores is not stopped.

--- a/crates/server/src/request/run_commands.rs
+++ b/crates/server/src/request/run_commands.rs
@@ -4,8 +4,9 @@
 //! the run shows the effect of the command before it. Until one comes, a command may be repeated only if that changes
 //! nothing where the first one was read, whatever the run has done since:
 //!
-//! - `launch` does nothing for a request that runs, but starts one that has ended a second time. It is repeated if the
-//!   run may run again, or if its class makes calls: before such a run ends, the notice of its call is read.
+//! - `launch` does nothing for a request that runs, but starts one that has ended a second time. It is repeated only if
+//!   the run may run again: the end of any other run may be on its way, or come before the second launch is read. That a
+//!   class makes calls shows nothing, since its runs may make none.
 //! - `forgo` names the notice of the call that it concerns, `freeze` and `thaw` set a state.
 //! - `deliver` names no call: a run that read the first one and has reached its next call by now would take the reply
 //!   for that call. It is never repeated. If the run may go on without the call, `forgo` takes its place; it does
@@ -79,7 +80,7 @@
     /// Returns the rules of a class.
     pub fn of_class(class: &RequestClass) -> RunRules {
         RunRules {
-            may_repeat_launch: class.idempotency == Idempotency::Idempotent || class.makes_calls,
+            may_repeat_launch: class.idempotency == Idempotency::Idempotent,
             may_skip_calls: class.degraded_weight_fraction > 0.0,
         }
     }
--- a/crates/server/src/request/run_commands/tests.rs
+++ b/crates/server/src/request/run_commands/tests.rs
@@ -12,6 +12,10 @@
 const MAX_STEPS_TO_REST: usize = 2000;
 const RUNS: usize = 4;
 const MAX_CALLS: u64 = 3;
+/// Steps per preemption or resumption, on average.
+const PREEMPTION_ONE_IN: u32 = 10;
+const IDEMPOTENCIES: [Idempotency; 3] =
+    [Idempotency::Idempotent, Idempotency::Keyed, Idempotency::NonIdempotent];
 
 /// Line from the server to the agent.
 #[derive(Clone, Copy, Debug)]
@@ -56,15 +60,30 @@
 enum AgentRun {
     NotStarted,
     Working { calls_left: u64 },
+    Paused { calls_left: u64 },
     AtCall { notice: NoticeNumber, calls_left: u64 },
     Ended,
 }
 
+/// What the agent does with commands of a closed connection that it has not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UnreadCommands {
+    /// They are lost with the connection.
+    Lost,
+    /// The agent reads all of them before it reads the new connection.
+    ReadFirst,
+    /// A drawn number of them is read, the others are lost.
+    PartlyRead,
+}
+
 struct ServerRun {
     class: RequestClass,
+    /// Calls that a run of the request makes, however often it runs.
+    calls: u64,
     commands: RunCommands,
     mailbox: VecDeque<RunEvent>,
     is_launched: bool,
+    is_paused: bool,
     is_in_doubt: bool,
     is_finished: bool,
 }
@@ -76,6 +95,7 @@
     accepts_commands: bool,
     last_notice: NoticeNumber,
     server_runs: Vec<ServerRun>,
+    unread_commands: UnreadCommands,
     commands: VecDeque<Command>,
     answers: VecDeque<Answer>,
     notices: Vec<Notice>,
@@ -91,28 +111,38 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let server_run = |_| {
             let class = RequestClass {
-                idempotency: if rng.random() { Idempotency::Idempotent } else { Idempotency::Keyed },
+                idempotency: IDEMPOTENCIES[rng.random_range(0..IDEMPOTENCIES.len())],
                 makes_calls: rng.random(),
                 degraded_weight_fraction: if rng.random() { 0.5 } else { 0.0 },
                 ..RequestClass::default()
             };
             let rules = RunRules::of_class(&class);
+            // The settings say of a class only that its requests may call.
+            let max_calls = if class.makes_calls { MAX_CALLS } else { 0 };
             ServerRun {
                 class,
+                calls: rng.random_range(0..=max_calls),
                 commands: RunCommands::new(rules),
                 mailbox: VecDeque::new(),
                 is_launched: false,
+                is_paused: false,
                 is_in_doubt: false,
                 is_finished: false,
             }
         };
         let server_runs = (0..RUNS).map(server_run).collect();
+        let unread_commands = match rng.random_range(0..3) {
+            0 => UnreadCommands::Lost,
+            1 => UnreadCommands::ReadFirst,
+            _ => UnreadCommands::PartlyRead,
+        };
         let mut world = World {
             rng,
             receipts: Receipts::default(),
             accepts_commands: false,
             last_notice: 0,
             server_runs,
+            unread_commands,
             commands: VecDeque::new(),
             answers: VecDeque::new(),
             notices: Vec::new(),
@@ -128,11 +158,20 @@
         self.commands.push_back(Command::Subscribe(self.last_notice));
     }
 
-    /// Breaks the connection and opens a new one. What was not read is lost.
+    /// Breaks the connection and opens a new one. Answers that were not read are lost; notices are sent again.
     fn break_connection(&mut self) {
+        self.is_subscribed = false;
+        match self.unread_commands {
+            UnreadCommands::Lost => {}
+            UnreadCommands::ReadFirst => self.agent_reads(self.commands.len()),
+            UnreadCommands::PartlyRead => {
+                let count = self.rng.random_range(0..=self.commands.len());
+                self.agent_reads(count);
+            }
+        }
+        self.is_subscribed = false;
         self.commands.clear();
         self.answers.clear();
-        self.is_subscribed = false;
         if std::mem::take(&mut self.accepts_commands) {
             self.receipts.record_close();
         }
@@ -159,15 +198,23 @@
     }
 
     fn agent_obeys(&mut self, run: usize, command: RunCommand, reply_to: NoticeNumber) {
-        let class = &self.server_runs[run].class;
+        let ServerRun { class, calls, .. } = &self.server_runs[run];
         let may_run_again = class.idempotency == Idempotency::Idempotent;
-        let call_counts = if class.makes_calls { 1..=MAX_CALLS } else { 0..=0 };
         let state = &mut self.agent_runs[run];
         match (command, *state) {
             (RunCommand::Launch, AgentRun::NotStarted | AgentRun::Ended) => {
                 assert!(may_run_again || *state == AgentRun::NotStarted, "run {run}: it runs twice");
-                *state = AgentRun::Working { calls_left: self.rng.random_range(call_counts) };
+                *state = AgentRun::Working { calls_left: *calls };
+            }
+            // The pages do not say whether the launch of a paused run resumes it.
+            (RunCommand::Launch, AgentRun::Paused { calls_left }) if self.rng.random() => {
+                *state = AgentRun::Working { calls_left };
             }
+            // A run that waits for the disk is on no core: `freeze` passes it over.
+            (RunCommand::Freeze, AgentRun::Working { calls_left }) if self.rng.random() => {
+                *state = AgentRun::Paused { calls_left };
+            }
+            (RunCommand::Thaw, AgentRun::Paused { calls_left }) => *state = AgentRun::Working { calls_left },
             (RunCommand::Deliver, AgentRun::AtCall { notice, calls_left }) => {
                 assert_eq!(reply_to, notice, "run {run}: the reply belongs to another call");
                 *state = AgentRun::Working { calls_left };
@@ -230,6 +277,23 @@
         }
     }
 
+    /// Pauses a run, or resumes it.
+    fn server_preempts(&mut self, run: usize) {
+        let state = &mut self.server_runs[run];
+        if state.is_launched && !state.is_finished {
+            state.is_paused = !state.is_paused;
+            let command = if state.is_paused { RunCommand::Freeze } else { RunCommand::Thaw };
+            self.server_sends(run, command);
+        }
+    }
+
+    /// Resumes all runs that are paused.
+    fn server_resumes_paused(&mut self) {
+        for run in (0..RUNS).filter(|run| self.server_runs[*run].is_paused).collect::<Vec<_>>() {
+            self.server_preempts(run);
+        }
+    }
+
     fn server_sends(&mut self, run: usize, command: RunCommand) {
         let commands = &mut self.server_runs[run].commands;
         let stamp = if self.accepts_commands { self.receipts.stamp() } else { CommandStamp::Unsent };
@@ -300,11 +364,16 @@
 
     fn is_at_rest(&self) -> bool {
         let is_settled = |run: &ServerRun| run.mailbox.is_empty() && (run.is_finished || run.is_in_doubt);
-        let works = |run: &AgentRun| matches!(run, AgentRun::Working { .. });
+        // The agent ends a paused run itself when its request is answered.
+        let moves = |run: usize| match self.agent_runs[run] {
+            AgentRun::Working { .. } => true,
+            AgentRun::Paused { .. } => !self.server_runs[run].is_finished,
+            _ => false,
+        };
         self.commands.is_empty()
             && self.answers.is_empty()
             && self.server_runs.iter().all(is_settled)
-            && !self.agent_runs.iter().any(works)
+            && !(0..RUNS).any(moves)
     }
 }
 
@@ -315,11 +384,16 @@
     let break_one_in = world.rng.random_range(3..60);
     for _ in 0..STEPS {
         world.step();
+        if world.rng.random_range(0..PREEMPTION_ONE_IN) == 0 {
+            let run = world.rng.random_range(0..RUNS);
+            world.server_preempts(run);
+        }
         if world.rng.random_range(0..break_one_in) == 0 {
             world.break_connection();
         }
     }
     (0..RUNS).for_each(|run| world.server_launches(run));
+    world.server_resumes_paused();
     let mut steps_left = MAX_STEPS_TO_REST;
     while !world.is_at_rest() {
         steps_left = steps_left.checked_sub(1).expect("the schedule comes to rest");
@@ -332,8 +406,8 @@
     (0..RUNS).filter(in_doubt).count()
 }
 
-/// Guards against a run whose next call gets the reply to the call before it, that runs twice though it may not, or that
-/// stands still unnoticed.
+/// Guards against a run whose next call gets the reply to the call before it, that runs twice though it may not (also in
+/// a class whose requests call at times), that stands still unnoticed, or that stays paused after it was resumed.
 #[test]
 fn drawn_breaks_deliver_no_reply_to_another_call() {
     println!("seeds {SEEDS:?}");
