Bound the memory and time of unfinished messages of all connections

Operators saw processes killed at their memory limit while hundreds of clients had stopped half way through a message.

Cause: a limit a connection times a limit of connections is no limit of a process. The time for a message was the idle time of its connection, and buffers stayed with idle connections.

Change: the connections of a listener share a budget (transport, MemoryBudget) for lines that are incomplete, decoded or queued; who made no progress for longest loses its connection, 4 KB a message need no asking. A line has a time from its first byte to its last. xDS gets the same budget by a layer on stream bodies, small windows and a bound on streams; the debug pages get hyper's limits on headers.

--- a/crates/control/src/serve/ads.rs
+++ b/crates/control/src/serve/ads.rs
@@ -1,6 +1,7 @@
 //! Aggregated discovery service (ADS) over gRPC, for both protocols: one task per stream.
 
 mod encoding;
+mod request_memory;
 
 #[cfg(test)]
 mod tests;
@@ -17,6 +18,8 @@
 use envoy_types::pb::envoy::service::discovery::v3::{
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
 };
+use puffinladder_transport::MemoryBudget;
+use request_memory::{RequestLimits, RequestMemory};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,9 +30,24 @@
 use tokio_stream::StreamExt;
 use tonic::transport::Server;
 use tonic::{Response, Status, Streaming};
+use tower::util::MapRequestLayer;
 
 /// Maximum size of a request, bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
+/// Time from the first byte of a request to its last.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Memory of a decoded request per encoded byte; lists of empty strings take the most.
+const DECODED_BYTES_PER_BYTE: usize = 12;
+/// Memory of all streams for requests that are incomplete or not handled, bytes. Holds eight requests of the maximum size.
+const REQUEST_MEMORY_BYTES: usize = 8 * (DECODED_BYTES_PER_BYTE + 1) * MAX_REQUEST_BYTES;
+/// Time for which a proxy may leave a response unread.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that a connection may send before they are read (HTTP/2 windows of the connection and of each stream).
+const RECEIVE_WINDOW_BYTES: u32 = 65_535;
+/// Open streams on one connection; a proxy needs one, and another while it replaces it.
+const MAX_STREAMS_PER_CONNECTION: u32 = 8;
+/// Maximum size of the header list of a request, bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 16_384;
 /// HTTP/2 keepalive interval and timeout of idle connections.
 const KEEPALIVE: Duration = Duration::from_secs(5);
 /// Timeout of the first request, which identifies the proxy.
@@ -80,6 +98,8 @@
     updates: mpsc::Receiver<Update>,
     responses: mpsc::Sender<Result<Resp, Status>>,
     encode: fn(&Update, &str) -> Resp,
+    /// Memory of the request that is being received.
+    request_memory: RequestMemory,
     _slot: StreamSlot,
 }
 
@@ -99,8 +119,8 @@
                 }
                 request = self.requests.message() => match request {
                     Ok(Some(request)) => {
-                        let request = request.into_request();
-                        self.service.send(Message::Request { id: self.id, request }).await;
+                        let (request, memory) = (request.into_request(), self.request_memory.complete());
+                        self.service.send(Message::Request { id: self.id, request, memory }).await;
                     }
                     _ => break,
                 },
@@ -110,11 +130,12 @@
         self.service.send(Message::CloseStream { id: self.id }).await;
     }
 
-    /// Sends a response. Returns whether the stream is still open.
+    /// Sends a response. Returns whether the stream is still open and its proxy reads.
     async fn respond(&self, update: &Update) -> bool {
         let response = (self.encode)(update, &self.name);
         self.service.traffic.record_sent_update(update, response.encoded_len());
-        self.responses.send(Ok(response)).await.is_ok()
+        let sent = tokio::time::timeout(RESPONSE_TIMEOUT, self.responses.send(Ok(response))).await;
+        matches!(sent, Ok(Ok(())))
     }
 }
 
@@ -159,6 +180,7 @@
         encode: fn(&Update, &str) -> Resp,
     ) -> Result<ReceiverStream<Result<Resp, Status>>, Status> {
         let chain = request.peer_certs();
+        let request_memory = request.extensions().get::<RequestMemory>().cloned().unwrap_or_default();
         let mut requests = request.into_inner();
         let slot = StreamSlot::reserve(&self.open_streams, self.service.max_proxies).ok_or_else(|| {
             let limit = self.service.max_proxies;
@@ -173,10 +195,21 @@
         let (sender, updates) = mpsc::channel(UPDATE_QUEUE);
         let (node, zone) = (node.id.clone(), zone_of(node));
         self.service.send(Message::OpenStream { id, node, zone, incremental, updates: sender }).await;
-        self.service.send(Message::Request { id, request: first.into_request() }).await;
+        let (request, memory) = (first.into_request(), request_memory.complete());
+        self.service.send(Message::Request { id, request, memory }).await;
         let (responses, stream) = mpsc::channel(1);
         let (service, name) = (self.service.clone(), self.name.clone());
-        let task = StreamTask { id, service, name, requests, updates, responses, encode, _slot: slot };
+        let task = StreamTask {
+            id,
+            service,
+            name,
+            requests,
+            updates,
+            responses,
+            encode,
+            request_memory,
+            _slot: slot,
+        };
         tokio::spawn(task.run());
         Ok(ReceiverStream::new(stream))
     }
@@ -219,8 +252,19 @@
         verifies_clients,
     };
     let grpc = AggregatedDiscoveryServiceServer::new(discovery).max_decoding_message_size(MAX_REQUEST_BYTES);
-    let mut server =
-        Server::builder().http2_keepalive_interval(Some(KEEPALIVE)).http2_keepalive_timeout(Some(KEEPALIVE));
+    let limits = RequestLimits {
+        timeout: REQUEST_TIMEOUT,
+        decoded_bytes_per_byte: DECODED_BYTES_PER_BYTE,
+        memory: MemoryBudget::new(REQUEST_MEMORY_BYTES),
+    };
+    let mut server = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .http2_keepalive_timeout(Some(KEEPALIVE))
+        .initial_connection_window_size(RECEIVE_WINDOW_BYTES)
+        .initial_stream_window_size(RECEIVE_WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
+        .http2_max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .layer(MapRequestLayer::new(move |request| limits.apply(request)));
     let router = server.add_service(grpc);
     let accept_stopped = stopped.clone();
     let shutdown = async move {
--- a/crates/control/src/serve/event_loop.rs
+++ b/crates/control/src/serve/event_loop.rs
@@ -123,12 +123,12 @@
     fn handle(&mut self, message: Message) {
         let now = self.now();
         match message {
-            Message::Report(report) => self.handle_report(now, report),
+            Message::Report { report, memory: _memory } => self.handle_report(now, report),
             Message::OpenStream { id, node, zone, incremental, updates } => {
                 self.streams.insert(id, updates);
                 self.service.open_stream(now, id, &node, &zone, incremental);
             }
-            Message::Request { id, request } => self.handle_request(now, id, &request),
+            Message::Request { id, request, memory: _memory } => self.handle_request(now, id, &request),
             Message::CloseStream { id } => self.end_stream(id),
             Message::Query(query) => query(&self.service, now),
         }
--- a/crates/control/src/serve/handle.rs
+++ b/crates/control/src/serve/handle.rs
@@ -4,6 +4,7 @@
 use crate::report::LoadReport;
 use crate::service::{ControlService, StreamId};
 use crate::stream::{ProxyRequest, Update};
+use puffinladder_transport::Reservation;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -15,12 +16,12 @@
 
 /// Message to the service's task.
 pub(super) enum Message {
-    /// A server sent a report.
-    Report(LoadReport),
+    /// A server sent a report. Its memory is released when it is handled.
+    Report { report: LoadReport, memory: Option<Reservation> },
     /// A proxy opened a stream.
     OpenStream { id: StreamId, node: String, zone: String, incremental: bool, updates: mpsc::Sender<Update> },
-    /// A proxy sent a request.
-    Request { id: StreamId, request: ProxyRequest },
+    /// A proxy sent a request. Its memory is released when it is handled.
+    Request { id: StreamId, request: ProxyRequest, memory: Option<Reservation> },
     /// A stream was closed.
     CloseStream { id: StreamId },
     /// A task reads the state.
--- a/crates/control/tests/pages.rs
+++ b/crates/control/tests/pages.rs
@@ -116,3 +116,23 @@
     assert_eq!(body(&get(debug, "/servers").await), r#"{"panic":false,"servers":[]}"#);
     assert_eq!(body(&get(debug, "/proxies").await), r#"{"proxies":[],"settled":0}"#);
 }
+
+/// Guards against clients whose headers take hundreds of kilobytes each before a request is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn header_of_many_large_fields_is_rejected_before_it_is_buffered() {
+    let running = start_service(None, None).await;
+    let address = running.debug.unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let field = "a".repeat(4000);
+    stream.write_all(b"GET /health HTTP/1.1\r\nHost: x\r\n").await.unwrap();
+    for number in 0..95 {
+        // Fails once the service has closed the connection.
+        if stream.write_all(format!("x{number}: {field}\r\n").as_bytes()).await.is_err() {
+            break;
+        }
+    }
+    let mut response = Vec::new();
+    let _ = stream.read_to_end(&mut response).await;
+    assert!(response.is_empty() || response.starts_with(b"HTTP/1.1 431"), "{response:?}");
+    assert!(get(address, "/metrics").await.starts_with("HTTP/1.0 200"));
+}
--- a/crates/lease-store/src/server.rs
+++ b/crates/lease-store/src/server.rs
@@ -17,7 +17,7 @@
 use crate::durable::DurableState;
 use crate::replica::{Replica, ReplicaConfig};
 use crate::store::Store;
-use connection::handle_connection;
+use connection::{handle_connection, request_limits};
 use event_loop::EventLoop;
 use puffinladder_leases::protocol::{Event, EventSink};
 use puffinladder_transport::{listen, Clock, RunningService};
@@ -64,7 +64,8 @@
     let replica = Replica::new(number, options.replica.clone(), durable)?;
     let (stop, stopped) = watch::channel(false);
     let (requests, unhandled) = mpsc::channel(MAX_UNHANDLED_REQUESTS);
-    let handle = move |stream, _| handle_connection(stream, requests.clone());
+    let limits = request_limits();
+    let handle = move |stream, _| handle_connection(stream, limits.clone(), requests.clone());
     let max_connections = options.max_connections;
     let address = listen("lease-store replica", options.listen, max_connections, stopped.clone(), handle)
         .await
--- a/crates/lease-store/src/server/connection.rs
+++ b/crates/lease-store/src/server/connection.rs
@@ -2,7 +2,7 @@
 //! per connection.
 
 use puffinladder_leases::protocol::{ReplicaReply, ReplicaRequest, MAX_LINE_BYTES};
-use puffinladder_transport::{write_line, LineReader, TransportError};
+use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, Reservation, TransportError};
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
@@ -12,6 +12,12 @@
 const MAX_QUEUED_REPLIES: usize = 256;
 /// Time without a request after which a connection is closed; well above the renewal interval.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time from the first byte of a request to its last; peers in other regions send snapshots.
+const LINE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory of a decoded request per byte of its line; lists of short names take the most.
+const DECODED_BYTES_PER_BYTE: usize = 10;
+/// Memory of all connections for requests that are incomplete or not handled, bytes. Holds one request of the maximum size.
+const REQUEST_MEMORY_BYTES: usize = (DECODED_BYTES_PER_BYTE + 1) * MAX_LINE_BYTES;
 /// Maximum duration of a write to a connection.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -20,17 +26,30 @@
     pub request: ReplicaRequest,
     /// Queue for its reply.
     pub reply_to: mpsc::Sender<ReplicaReply>,
+    /// Memory of the request, released when it is handled.
+    pub memory: Option<Reservation>,
+}
+
+/// Returns the limits of requests, with the memory that all connections share.
+pub(super) fn request_limits() -> LineLimits {
+    LineLimits {
+        max_line_bytes: MAX_LINE_BYTES,
+        line_timeout: LINE_TIMEOUT,
+        decoded_bytes_per_byte: DECODED_BYTES_PER_BYTE,
+        memory: MemoryBudget::new(REQUEST_MEMORY_BYTES),
+    }
 }
 
 /// Reads requests until the connection is closed, idle for too long, or receives an invalid line.
 pub(super) async fn handle_connection(
     stream: TcpStream,
+    limits: LineLimits,
     requests: mpsc::Sender<IncomingRequest>,
 ) -> Result<(), TransportError> {
     let (reader, writer) = stream.into_split();
     let (reply_to, replies) = mpsc::channel(MAX_QUEUED_REPLIES);
     let writer_task = tokio::spawn(write_replies(writer, replies));
-    let result = read_requests(LineReader::new(reader, MAX_LINE_BYTES), requests, reply_to).await;
+    let result = read_requests(LineReader::with_limits(reader, limits), requests, reply_to).await;
     // Queued replies are discarded, as the connection is closed.
     writer_task.abort();
     result
@@ -42,7 +61,8 @@
     reply_to: mpsc::Sender<ReplicaReply>,
 ) -> Result<(), TransportError> {
     while let Some(request) = lines.read_within(IDLE_TIMEOUT).await? {
-        let incoming = IncomingRequest { request, reply_to: reply_to.clone() };
+        let memory = lines.take_reservation();
+        let incoming = IncomingRequest { request, reply_to: reply_to.clone(), memory };
         if requests.send(incoming).await.is_err() {
             break;
         }
--- a/crates/trace-store/src/serve.rs
+++ b/crates/trace-store/src/serve.rs
@@ -7,7 +7,9 @@
 use crate::requests::RequestHandler;
 use crate::store::{Store, StoreError};
 use puffinladder_leases::protocol::{Event, EventSink};
-use puffinladder_transport::{listen, write_line, LineReader, RunningService, TransportError};
+use puffinladder_transport::{
+    listen, write_line, LineLimits, LineReader, MemoryBudget, RunningService, TransportError,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -48,6 +50,12 @@
 const MAX_BATCH: usize = 64;
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time from the first byte of a request to its last.
+const LINE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Memory of a decoded request per byte of its line: its block as text, as bytes, and as a pending write.
+const DECODED_BYTES_PER_BYTE: usize = 3;
+/// Memory of all connections for requests that are incomplete or not handled, bytes. Holds two requests of the maximum size.
+const REQUEST_MEMORY_BYTES: usize = 2 * (DECODED_BYTES_PER_BYTE + 1) * MAX_LINE_BYTES;
 /// Time limit of writing a response, after which a connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -64,7 +72,13 @@
     let (stop, stopped) = watch::channel(false);
     let (requests, queue) = mpsc::channel(MAX_WAITING_REQUESTS);
     // The main task ends when the listener and all connections have dropped their senders.
-    let handle = move |stream, _| handle_connection(stream, requests.clone());
+    let limits = LineLimits {
+        max_line_bytes: MAX_LINE_BYTES,
+        line_timeout: LINE_TIMEOUT,
+        decoded_bytes_per_byte: DECODED_BYTES_PER_BYTE,
+        memory: MemoryBudget::new(REQUEST_MEMORY_BYTES),
+    };
+    let handle = move |stream, _| handle_connection(stream, limits.clone(), requests.clone());
     let address = listen("trace store", config.listen, config.max_connections, stopped, handle).await?;
     config.events.emit(&Event::Ready { listen: address.to_string() });
     tracing::info!("trace store listens on {address}, {} files indexed", index.files().count());
@@ -74,10 +88,11 @@
 
 async fn handle_connection(
     stream: TcpStream,
+    limits: LineLimits,
     requests: mpsc::Sender<PendingRequest>,
 ) -> Result<(), TransportError> {
     let (reader, mut writer) = stream.into_split();
-    let mut lines = LineReader::new(reader, MAX_LINE_BYTES);
+    let mut lines = LineReader::with_limits(reader, limits);
     while let Some(request) = lines.read_within(IDLE_TIMEOUT).await? {
         let (respond_to, response) = oneshot::channel();
         if requests.send(PendingRequest { request, respond_to }).await.is_err() {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,4 +1,5 @@
-//! Networking shared by the control-plane processes: length-limited lines of JSON over TCP ([`lines`]), clients ([`client`]),
+//! Networking shared by the control-plane processes: length-limited lines of JSON over TCP ([`lines`]), the memory that
+//! they may take together ([`memory`]), clients ([`client`]),
 //! listeners with a connection limit ([`service`]), and the clock of a process ([`clock`]).
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -6,9 +7,11 @@
 pub mod client;
 pub mod clock;
 pub mod lines;
+pub mod memory;
 pub mod service;
 
 pub use client::{connect, request, CONNECT_TIMEOUT};
 pub use clock::Clock;
-pub use lines::{encode_line, write_line, LineReader, TransportError};
+pub use lines::{encode_line, write_line, LineLimits, LineReader, TransportError};
+pub use memory::{MemoryBudget, Reservation};
 pub use service::{bind, listen, serve_connections, RunningService, ServiceError};
--- a/crates/worker/src/report_planner.rs
+++ b/crates/worker/src/report_planner.rs
@@ -5,7 +5,7 @@
     CoordinatorReply, QuotaCoordinator, ReportError, ServerReport, DRAIN_TASK, QUOTA_TASK,
 };
 use puffinladder_leases::{Epoch, Task};
-use puffinladder_transport::{write_line, LineReader, TransportError};
+use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, Reservation, TransportError};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
@@ -20,6 +20,12 @@
 const MAX_REPORT_BYTES: usize = 4 << 20;
 /// Time without a report after which a server is disconnected.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time from the first byte of a report to its last.
+const LINE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory of a decoded report per byte of its line; lists of short names take the most.
+const DECODED_BYTES_PER_BYTE: usize = 10;
+/// Memory of all connections for reports that are incomplete or not handled, bytes. Holds two reports of the maximum size.
+const REPORT_MEMORY_BYTES: usize = 2 * (DECODED_BYTES_PER_BYTE + 1) * MAX_REPORT_BYTES;
 /// Time limit of writing a reply, after which a server is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -27,6 +33,18 @@
 pub(crate) struct ReceivedReport {
     pub report: ServerReport,
     pub reply_to: mpsc::Sender<CoordinatorReply>,
+    /// Memory of the report, released when it is handled.
+    pub memory: Option<Reservation>,
+}
+
+/// Returns the limits of reports, with the memory that all connections share.
+pub(crate) fn report_limits() -> LineLimits {
+    LineLimits {
+        max_line_bytes: MAX_REPORT_BYTES,
+        line_timeout: LINE_TIMEOUT,
+        decoded_bytes_per_byte: DECODED_BYTES_PER_BYTE,
+        memory: MemoryBudget::new(REPORT_MEMORY_BYTES),
+    }
 }
 
 /// A rejected report. The server's name is unvalidated, so the message truncates it.
@@ -40,16 +58,18 @@
 /// Serves one server's connection: forwards its reports to `reports` and writes the replies.
 pub(crate) async fn handle_connection(
     stream: TcpStream,
+    limits: LineLimits,
     reports: mpsc::Sender<ReceivedReport>,
 ) -> Result<(), TransportError> {
     let (reader, mut writer) = stream.into_split();
     let (reply_to, mut replies) = mpsc::channel::<CoordinatorReply>(MAX_WAITING_REPLIES);
-    let mut lines = LineReader::new(reader, MAX_REPORT_BYTES);
+    let mut lines = LineReader::with_limits(reader, limits);
     loop {
         tokio::select! {
             read = lines.read_within(IDLE_TIMEOUT) => {
                 let Some(report) = read? else { return Ok(()) };
-                let received = ReceivedReport { report, reply_to: reply_to.clone() };
+                let memory = lines.take_reservation();
+                let received = ReceivedReport { report, reply_to: reply_to.clone(), memory };
                 if reports.send(received).await.is_err() {
                     return Ok(());
                 }
@@ -104,7 +124,7 @@
 
     /// Passes a report to the coordinator and remembers its connection.
     pub fn receive(&mut self, now: f64, received: ReceivedReport) -> Result<(), RejectedReport> {
-        let ReceivedReport { report, reply_to } = received;
+        let ReceivedReport { report, reply_to, memory: _memory } = received;
         match self.coordinator.handle_report(now, &report) {
             Ok(()) => {
                 self.servers.insert(report.server, reply_to);
--- a/crates/worker/src/service.rs
+++ b/crates/worker/src/service.rs
@@ -1,7 +1,7 @@
 //! Starts and stops a worker: its main task and, if enabled, its listener for servers' reports.
 
 use crate::config::WorkerConfig;
-use crate::report_planner::handle_connection;
+use crate::report_planner::{handle_connection, report_limits};
 use crate::worker::Worker;
 use puffinladder_transport::listen;
 use std::io;
@@ -44,7 +44,8 @@
     let (reports, received) = mpsc::channel(MAX_WAITING_REPORTS);
     let mut address = None;
     if let Some(reporting) = &config.reporting {
-        let handle = move |stream, _| handle_connection(stream, reports.clone());
+        let limits = report_limits();
+        let handle = move |stream, _| handle_connection(stream, limits.clone(), reports.clone());
         let max_connections = reporting.max_connections;
         let bound = listen("reports", reporting.listen, max_connections, stopped.clone(), handle).await?;
         address = Some(bound);
