Hold no request slot for requests that were taken back, and never launch them

Operators saw clients rejected while another one sent small requests at full speed on one connection.

Cause: CANCEL took a request off its connection's count of open ones, but its coroutine held a request slot of the process until the policy had queued and removed it. One connection could hold all of them: the log said "in flight 409", the agent had got no launch of the flood. A request with its run and its cancellation both in its mailbox was launched.

Change: a request that was taken back or whose connection has ended is neither submitted nor launched. A connection may hold an eighth of the slots, 64 at the least; what is over that is rejected at once.

--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -24,6 +24,8 @@
 const MIN_REQUESTS_IN_FLIGHT: usize = 64;
 /// Maximum number of open requests on one connection.
 const MAX_OPEN_REQUESTS: usize = 32;
+/// One connection may have all requests in flight divided by this number.
+const CONNECTION_REQUEST_DIVISOR: usize = 8;
 /// Maximum size of a message from a gateway.
 const MAX_MESSAGE_BYTES: usize = 4096;
 /// Size of a response without its body.
@@ -44,6 +46,9 @@
     pub max_store_connections: usize,
     /// Requests in flight, each with its own coroutine. Further ones are rejected at once.
     pub max_requests: usize,
+    /// Requests in flight of one connection, those that were taken back or answered while their run goes on included.
+    /// Further ones are rejected at once.
+    pub max_connection_requests: usize,
     /// Open requests on one connection.
     pub max_open_requests: usize,
     /// Used tags that a connection remembers above its lowest unused tag.
@@ -135,14 +140,11 @@
     pub trace_seal_timeout: Duration,
 }
 
-/// Returns the longest time for which a request with a key may stay unread and still run: its class timeout,
-/// s.
-fn max_unread_time(config: &ServerConfig) -> f64 {
+/// Returns the longest timeout of the classes of this kind, s: the longest time for which a request may stay unread and
+/// still run, or for which its gateway waits.
+fn max_timeout(config: &ServerConfig, idempotency: Idempotency) -> f64 {
     let classes = config.policy.settings.classes.iter();
-    classes
-        .filter(|class| class.idempotency == Idempotency::Keyed)
-        .map(|class| class.timeout)
-        .fold(0.0, f64::max)
+    classes.filter(|class| class.idempotency == idempotency).map(|class| class.timeout).fold(0.0, f64::max)
 }
 
 /// Allocation of file descriptors.
@@ -168,13 +170,15 @@
     pub fn new(config: &ServerConfig, reserved_descriptors: usize) -> Limits {
         let shares = DescriptorShares::new(config.max_sockets.saturating_sub(reserved_descriptors));
         let memory = (config.memory_mb * BYTES_PER_MEGABYTE) as usize;
+        let max_requests =
+            (memory * REQUEST_MEMORY_PERCENT / 100 / REQUEST_FOOTPRINT_BYTES).max(MIN_REQUESTS_IN_FLIGHT);
         Limits {
             max_gateways: shares.gateways,
             closing_allowance: shares.closing,
             max_gateway_descriptors: shares.gateways + 2 * shares.closing,
             max_store_connections: shares.store,
-            max_requests: (memory * REQUEST_MEMORY_PERCENT / 100 / REQUEST_FOOTPRINT_BYTES)
-                .max(MIN_REQUESTS_IN_FLIGHT),
+            max_requests,
+            max_connection_requests: (max_requests / CONNECTION_REQUEST_DIVISOR).max(2 * MAX_OPEN_REQUESTS),
             max_open_requests: MAX_OPEN_REQUESTS,
             max_remembered_tags: 256,
             max_element_bytes: 2048,
@@ -190,7 +194,7 @@
             max_keys: memory / 12 / KEY_ENTRY_BYTES,
             max_result_bytes: memory / 8,
             key_clock_tolerance: 0.002,
-            key_retention: max_unread_time(config),
+            key_retention: max_timeout(config, Idempotency::Keyed),
             key_contention_timeout: 1.0,
             min_buffer_bytes: 4096,
             stack_words: 4096,
--- a/crates/server/src/request/execution.rs
+++ b/crates/server/src/request/execution.rs
@@ -89,6 +89,10 @@
 impl Submission<'_> {
     fn submit(&self, mailbox: &Arc<Mailbox>, reply: &mut PendingReply) -> Admission {
         let Submission { context, received, tag, .. } = self;
+        if mailbox.is_cancelled() {
+            reply.cancel();
+            return Admission::Finished;
+        }
         let now = clock::now();
         let trust = self.connection.refusals.assess(now);
         if trust == Trust::Suspected {
@@ -213,6 +217,10 @@
 
     fn handle(&mut self, event: Event, mailbox: &Arc<Mailbox>) -> ControlFlow<ExecutionEnd> {
         match event {
+            Event::Run if !self.paused && mailbox.is_cancelled() => {
+                self.withdraw();
+                return ControlFlow::Break(ExecutionEnd::Finished);
+            }
             Event::Run if self.is_suspected() => {
                 self.reject_suspected();
                 return ControlFlow::Break(ExecutionEnd::Finished);
@@ -272,6 +280,17 @@
 
     fn reject_suspected(&mut self) {
         self.reply.reject(0.0, false, Reason::UnknownToAgent);
+        self.end_unrun();
+    }
+
+    /// Ends a request that its gateway no longer waits for, instead of launching it.
+    fn withdraw(&mut self) {
+        self.reply.cancel();
+        self.end_unrun();
+    }
+
+    /// Reports that the request ended without a run.
+    fn end_unrun(&mut self) {
         self.context.dispatcher.release_key(self.received.key.as_ref(), self.id);
         self.guard.report_ended(Outcome::NotNeeded, 0.0);
     }
--- a/crates/server/src/request/mod.rs
+++ b/crates/server/src/request/mod.rs
@@ -14,23 +14,34 @@
 use reply::PendingReply;
 use std::sync::Arc;
 
-/// Request slot held by a coroutine, released on drop.
-struct RequestSlot(Arc<RequestContext>);
+/// Slot of the process and of a connection, held by the coroutine of a request until its run has ended. Released on drop.
+struct RequestSlot {
+    context: Arc<RequestContext>,
+    connection: Arc<Connection>,
+}
 
 impl RequestSlot {
-    /// Returns `None` if all slots are in use.
-    fn acquire(context: &Arc<RequestContext>) -> Option<RequestSlot> {
-        context.slots.acquire().then(|| RequestSlot(context.clone()))
+    /// Returns `None` if all slots of the process, or of the connection, are in use.
+    fn acquire(context: &Arc<RequestContext>, connection: &Arc<Connection>) -> Option<RequestSlot> {
+        if !connection.slots.acquire() {
+            return None;
+        }
+        if !context.slots.acquire() {
+            connection.slots.release();
+            return None;
+        }
+        Some(RequestSlot { context: context.clone(), connection: connection.clone() })
     }
 }
 
 impl Drop for RequestSlot {
     fn drop(&mut self) {
-        self.0.slots.release();
+        self.connection.slots.release();
+        self.context.slots.release();
     }
 }
 
-/// Starts the coroutine of a request, or rejects the request at once if all slots are in use.
+/// Starts the coroutine of a request, or rejects the request at once if all slots of the process, or of its connection, are in use.
 pub fn start(
     context: &Arc<RequestContext>,
     received: ReceivedRequest,
@@ -38,12 +49,12 @@
     connection: Arc<Connection>,
     tag: u64,
 ) {
-    let Some(slot) = RequestSlot::acquire(context) else {
+    let Some(slot) = RequestSlot::acquire(context, &connection) else {
         let mut reply = PendingReply::new(context, &connection, tag, &received);
         reply.reject(0.0, false, Reason::ProcessAtCapacity);
         return;
     };
-    may::go!(move || execution::execute(&slot.0, &received, mailbox, &connection, tag));
+    may::go!(move || execution::execute(&slot.context, &received, mailbox, &slot.connection, tag));
 }
 
 #[cfg(test)]
--- a/crates/server/src/runtime/request_slots.rs
+++ b/crates/server/src/runtime/request_slots.rs
@@ -1,4 +1,4 @@
-//! Limit on the number of requests in the process.
+//! Limit on the number of requests in the process, and of one connection.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
--- a/crates/server/src/state/mailbox.rs
+++ b/crates/server/src/state/mailbox.rs
@@ -134,6 +134,20 @@
         lock(&self.events).iter().any(Event::is_run_notice)
     }
 
+    /// Queues several events, of which the reader sees either all or none.
+    #[cfg(test)]
+    pub fn send_all(&self, events: impl IntoIterator<Item = Event>) {
+        lock(&self.events).extend(events);
+        if let Some(reader) = self.reader.get() {
+            reader.unpark();
+        }
+    }
+
+    /// Returns whether a cancellation is queued: the gateway took the request back, or closed its connection.
+    pub fn is_cancelled(&self) -> bool {
+        lock(&self.events).iter().any(|event| matches!(event, Event::Cancelled))
+    }
+
     /// Waits for the next event. Only the coroutine of the request may call this.
     pub fn receive(&self) -> Event {
         loop {
--- a/crates/server/src/wire/gateway/connection.rs
+++ b/crates/server/src/wire/gateway/connection.rs
@@ -6,6 +6,7 @@
 use crate::runtime::clock;
 use crate::runtime::fault_log::FaultLog;
 use crate::runtime::lock::lock;
+use crate::runtime::request_slots::RequestSlots;
 use crate::state::mailbox::{Event, Mailbox};
 use crate::wire::resp;
 use crate::wire::ring::RingBuffer;
@@ -35,6 +36,8 @@
     state: Mutex<ConnectionState>,
     /// Requests of this connection that the agent refused.
     pub refusals: Refusals,
+    /// Slots of its requests, those that were taken back or answered while their run goes on included.
+    pub slots: RequestSlots,
     waker: WaitIoWaker,
     context: Arc<ConnectionContext>,
 }
@@ -119,7 +122,14 @@
     pub fn new(context: &Arc<ConnectionContext>, stream: &TcpStream) -> Connection {
         let state = ConnectionState::new(clock::now(), &context.limits);
         let refusals = Refusals::default();
-        Connection { state: Mutex::new(state), refusals, waker: stream.waker(), context: context.clone() }
+        let slots = RequestSlots::new(context.limits.max_connection_requests);
+        Connection {
+            state: Mutex::new(state),
+            refusals,
+            slots,
+            waker: stream.waker(),
+            context: context.clone(),
+        }
     }
 
     pub fn state(&self) -> MutexGuard<'_, ConnectionState> {
