Run no unsafe request again whose attempt id comes a second time

A client sent a request of an unsafe class, left, and sent it with the same id on another connection. Once its run had ended it ran again.

Cause: attempt ids were known while their request was in flight. Keyed classes have their key table, unsafe ones had nothing.

Change: ids of ended runs that may not run again are kept for the longest timeout of such a class, in a bounded table; a request under such an id fails.

--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::runtime::clock;
 use crate::runtime::lock::lock;
+use crate::state::ended_attempts::EndedAttempts;
 use crate::state::idempotency::IdempotencyKeys;
 use crate::state::identifiers::{AttemptId, ContentDigest, IdempotencyKey};
 use crate::state::mailbox::{Event, Mailbox};
@@ -52,11 +53,12 @@
     pub fn new(
         policy: AdmissionPolicy,
         keys: IdempotencyKeys,
+        ended_attempts: EndedAttempts,
         keepalive: f64,
         log: RequestLog,
     ) -> Dispatcher {
         Dispatcher {
-            rounds: Mutex::new(Rounds::new(policy, keys, keepalive)),
+            rounds: Mutex::new(Rounds::new(policy, keys, ended_attempts, keepalive)),
             worker: OnceLock::new(),
             published: PublishedState::default(),
             kill_time: OnceLock::new(),
@@ -128,13 +130,11 @@
         self.add_input(|rounds| rounds.input.finished_calls.push(Completion { id, outcome, duration }));
     }
 
-    /// Reports that a request ended after `duration` seconds of running. Its attempt id is free at once,
-    /// before the policy runs its next round.
+    /// Reports that a request ended after `duration` seconds of running. Its attempt id is free at once, before the policy
+    /// runs its next round, unless it ran and may not run again.
     pub fn report_ended(&self, id: u32, outcome: Outcome, duration: f64) {
         self.add_input(|rounds| {
-            if let Some(request) = rounds.in_flight.remove(id) {
-                request.notify_duplicate(outcome != Outcome::NotNeeded);
-            }
+            rounds.remove_ended(clock::now(), id, outcome != Outcome::NotNeeded);
             rounds.input.finished_runs.push(Completion { id, outcome, duration });
         });
     }
@@ -235,6 +235,7 @@
         if now >= rounds.housekeeping_at {
             rounds.housekeeping_at = now + times.housekeeping_interval;
             rounds.keys.expire(now);
+            rounds.ended_attempts.expire(now);
             rounds.fail_lost_runs(now);
             let keepalive = rounds.keepalive;
             drop(rounds);
--- a/crates/server/src/dispatcher/rounds.rs
+++ b/crates/server/src/dispatcher/rounds.rs
@@ -2,6 +2,7 @@
 
 use super::decisions::{mark_answered, DecisionHandler};
 use super::published::PublishedState;
+use crate::state::ended_attempts::EndedAttempts;
 use crate::state::idempotency::{IdempotencyKeys, KeyLookup};
 use crate::state::in_flight::InFlightRequests;
 use crate::state::mailbox::{Event, Mailbox};
@@ -21,7 +22,8 @@
     /// A request in flight has the same attempt id. Its end is announced in the mailbox; the policy does not
     /// know of the waiting request.
     AwaitingAttemptId,
-    /// A request in flight has the same attempt id, and another request already waits for its end.
+    /// A request in flight has the same attempt id, and another request already waits for its end; or a run under this
+    /// attempt id has ended and may not begin again.
     DuplicateAttempt,
     /// A request with different content holds the idempotency key. Its release is announced in the mailbox;
     /// the policy does not know of the waiting request.
@@ -46,6 +48,8 @@
     policy: AdmissionPolicy,
     pub(super) in_flight: InFlightRequests,
     pub(super) keys: IdempotencyKeys,
+    /// Attempts that ran and may not run again.
+    pub(super) ended_attempts: EndedAttempts,
     /// Input since the last round.
     pub(super) input: RoundInput,
     /// Time at which each request in `input.arrivals` reached the machine, s.
@@ -70,11 +74,17 @@
 
 impl Rounds {
     /// Returns a state without requests or input.
-    pub(super) fn new(policy: AdmissionPolicy, keys: IdempotencyKeys, keepalive: f64) -> Rounds {
+    pub(super) fn new(
+        policy: AdmissionPolicy,
+        keys: IdempotencyKeys,
+        ended_attempts: EndedAttempts,
+        keepalive: f64,
+    ) -> Rounds {
         Rounds {
             policy,
             in_flight: InFlightRequests::default(),
             keys,
+            ended_attempts,
             input: RoundInput::default(),
             arrival_times: Vec::new(),
             has_input: false,
@@ -93,7 +103,11 @@
         mailbox: &Arc<Mailbox>,
         deadline: f64,
     ) -> SubmitOutcome {
-        let Some(id) = self.in_flight.insert(received.attempt, received.key, mailbox.clone()) else {
+        if self.ended_attempts.contains(&received.attempt) {
+            return SubmitOutcome::DuplicateAttempt;
+        }
+        let ReceivedRequest { attempt, key, may_repeat_attempt, .. } = *received;
+        let Some(id) = self.in_flight.insert(attempt, key, may_repeat_attempt, mailbox.clone()) else {
             return self.await_attempt_id(received, mailbox, deadline);
         };
         let lookup = received
@@ -159,6 +173,15 @@
         lost.iter().for_each(|mailbox| mailbox.send(Event::OutcomeLost));
     }
 
+    /// Removes a request whose run has ended, or that never ran, and frees its attempt id.
+    pub(super) fn remove_ended(&mut self, now: f64, id: u32, ran: bool) {
+        let Some(request) = self.in_flight.remove(id) else { return };
+        if ran && request.running && !request.may_repeat_attempt {
+            self.ended_attempts.insert(request.attempt, now);
+        }
+        request.notify_duplicate(ran);
+    }
+
     /// Stores the answer to a gauge poll. Returns whether a tick is waiting for it.
     pub(super) fn receive_gauges(&mut self, tag: u64, gauges: Gauges) -> bool {
         let awaited = self.gauge_poll.pending == Some(tag);
--- a/crates/server/src/ingress/decode.rs
+++ b/crates/server/src/ingress/decode.rs
@@ -112,7 +112,8 @@
         let timestamp = milliseconds as f64 / MILLISECONDS_PER_SECOND;
         let body = array.element(4).to_vec();
         let digest = key.map_or(0, |_| self.hasher.hash_one((class, &body)));
-        Ok(ReceivedRequest { attempt, key, digest, timestamp, request, body })
+        let may_repeat_attempt = settings.idempotency != Idempotency::NonIdempotent;
+        Ok(ReceivedRequest { attempt, key, digest, may_repeat_attempt, timestamp, request, body })
     }
 }
 
--- a/crates/server/src/lifecycle/server.rs
+++ b/crates/server/src/lifecycle/server.rs
@@ -13,6 +13,7 @@
 use crate::runtime::request_slots::RequestSlots;
 use crate::runtime::summary::AnswerSummary;
 use crate::runtime::wait_queue::WaitQueue;
+use crate::state::ended_attempts::EndedAttempts;
 use crate::state::idempotency::{IdempotencyKeys, KeyBounds};
 use crate::state::request_log::RequestLog;
 use crate::wire::agent::link::AgentLink;
@@ -152,5 +153,6 @@
     // Keys are stored in this process and bounded by `limits.max_keys`, so the policy charges no memory for them.
     let settings = PolicySettings { key_memory: 0.0, ..config.policy.settings.clone() };
     let policy = AdmissionPolicy::new(&settings, config.seed);
-    Dispatcher::new(policy, keys, settings.idle_timeout, log)
+    let ended_attempts = EndedAttempts::new(limits.max_ended_attempts, limits.ended_attempt_retention);
+    Dispatcher::new(policy, keys, ended_attempts, settings.idle_timeout, log)
 }
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -26,6 +26,8 @@
 const MAX_OPEN_REQUESTS: usize = 32;
 /// One connection may have all requests in flight divided by this number.
 const CONNECTION_REQUEST_DIVISOR: usize = 8;
+/// Size of the id of an ended attempt with its table entry.
+const ENDED_ATTEMPT_BYTES: usize = 128;
 /// Maximum size of a message from a gateway.
 const MAX_MESSAGE_BYTES: usize = 4096;
 /// Size of a response without its body.
@@ -77,6 +79,10 @@
     pub max_keys: usize,
     /// Size of all results stored for retries.
     pub max_result_bytes: usize,
+    /// Ids of ended attempts that may not run again.
+    pub max_ended_attempts: usize,
+    /// Time for which the id of an ended attempt is kept.
+    pub ended_attempt_retention: f64,
     /// Time added to the validity of a key, since timestamps are rounded to whole milliseconds.
     pub key_clock_tolerance: f64,
     /// Time for which an expired key is kept, so that a retry that arrived in time but was read late does not
@@ -193,6 +199,8 @@
             max_reply_bytes: 32768,
             max_keys: memory / 12 / KEY_ENTRY_BYTES,
             max_result_bytes: memory / 8,
+            max_ended_attempts: memory / 64 / ENDED_ATTEMPT_BYTES,
+            ended_attempt_retention: max_timeout(config, Idempotency::NonIdempotent),
             key_clock_tolerance: 0.002,
             key_retention: max_timeout(config, Idempotency::Keyed),
             key_contention_timeout: 1.0,
--- a/crates/server/src/request/tests.rs
+++ b/crates/server/src/request/tests.rs
@@ -36,6 +36,7 @@
         attempt: ATTEMPT,
         key: Some(key),
         digest: DIGEST,
+        may_repeat_attempt: true,
         timestamp: 0.0,
         request: Request { class: 1, ..Request::default() },
         body: Vec::new(),
--- a/crates/server/src/state/in_flight.rs
+++ b/crates/server/src/state/in_flight.rs
@@ -11,6 +11,8 @@
     pub attempt: AttemptId,
     /// Idempotency key, if its class uses them.
     pub key: Option<IdempotencyKey>,
+    /// Whether its attempt id may run again once its run has ended.
+    pub may_repeat_attempt: bool,
     /// Mailbox of its coroutine.
     pub mailbox: Arc<Mailbox>,
     /// Whether the policy started its run.
@@ -47,6 +49,7 @@
         &mut self,
         attempt: AttemptId,
         key: Option<IdempotencyKey>,
+        may_repeat_attempt: bool,
         mailbox: Arc<Mailbox>,
     ) -> Option<u32> {
         if self.by_attempt.contains_key(&attempt) {
@@ -57,6 +60,7 @@
         let request = InFlightRequest {
             attempt,
             key,
+            may_repeat_attempt,
             mailbox,
             running: false,
             answered_at: None,
--- a/crates/server/src/state/in_flight/tests.rs
+++ b/crates/server/src/state/in_flight/tests.rs
@@ -5,7 +5,7 @@
 fn further_reconnects_do_not_postpone_the_removal_of_a_lost_run() {
     let mut requests = InFlightRequests::default();
     let attempt = [b'a'; 16];
-    let id = requests.insert(attempt, None, Arc::default()).unwrap();
+    let id = requests.insert(attempt, None, true, Arc::default()).unwrap();
     let request = requests.get_mut(id).unwrap();
     (request.running, request.answered_at) = (true, Some(1.0));
     for reconnected_at in [2.0, 4.0, 6.0] {
--- a/crates/server/src/state/received_request.rs
+++ b/crates/server/src/state/received_request.rs
@@ -11,6 +11,8 @@
     pub key: Option<IdempotencyKey>,
     /// Digest of class and body if there is a key, else 0.
     pub digest: ContentDigest,
+    /// Whether the request may run again under the same attempt id, as far as the id alone decides.
+    pub may_repeat_attempt: bool,
     /// Unix time at which it reached the machine, s.
     pub timestamp: f64,
     /// Input of the policy; its id is assigned on submission.
--- a/crates/server/tests/departures.rs
+++ b/crates/server/tests/departures.rs
@@ -1,6 +1,7 @@
 //! Clients that leave: requests whose connection is closed, or that were taken back, before they were launched, and attempt
 //! ids that come again on another connection.
 
+use puffinladder_toy::agent::LastCommand;
 use puffinladder_toy::gateway::{encode_command, unix_time_ms, Gateway};
 use puffinladder_toy::harness::ServerHarness;
 use serde_json::json;
@@ -50,6 +51,34 @@
     }
 }
 
+/// Guards against a request without a key that runs twice, since its attempt id comes again after its client has left: while
+/// its run goes on, when it has ended, and when nothing tells whether its launch was read.
+#[test]
+fn attempt_id_of_an_unsafe_request_that_ran_does_not_run_again() {
+    for (finish_first, link_breaks) in [(true, false), (false, false), (false, true)] {
+        let harness = start_server("unsafe");
+        let mut gateway = harness.connect_gateway();
+        if link_breaks {
+            harness.agent.disconnect_at("launch", LastCommand::Read);
+        }
+        let (_, attempt_id) = gateway.call("order", "", b"hold");
+        harness.agent.wait_for_command("launch", &attempt_id);
+        drop(gateway);
+        if finish_first {
+            harness.agent.finish_run(&attempt_id);
+            harness.wait_for_log(": ended");
+        }
+        let mut other = harness.connect_gateway();
+        let tag = other.call_with_id(&attempt_id, "order", "", b"hold");
+        if !finish_first {
+            harness.wait_for_log("waits for its attempt id");
+            harness.agent.finish_run(&attempt_id);
+        }
+        assert_eq!(read_status(&mut other, tag), "500");
+        assert_eq!(harness.agent.command_count("launch", &attempt_id), 1);
+    }
+}
+
 /// Guards against a keyed request that runs twice, since its attempt id comes again after its client has left.
 #[test]
 fn attempt_id_of_a_keyed_request_that_ran_gets_its_result() {
