Bound the names and the unhandled requests of one connection

One client under ever new names filled the tables of lease store, trace store and control over one connection, and with thousands of requests in the queue of a lease store others waited behind them.

Change: SenderNames (transport) closes a connection that speaks for more than 64 instances, tasks or servers, 1,024 servers at the control service (its bench reports for a fleet on one connection). A lease store holds 64 unhandled requests of a connection and reads it no further meanwhile.

A client that connects anew can still fill the tables.

--- a/crates/control/src/serve/reports.rs
+++ b/crates/control/src/serve/reports.rs
@@ -5,7 +5,7 @@
 use super::handle::{Message, ServiceHandle};
 use crate::report::decoder::{DecodeError, NameTable, ReportDecoder};
 use puffinladder_reports::compact::FormatOffer;
-use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, TransportError};
+use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, SenderNames, TransportError};
 use serde_json::value::RawValue;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -13,6 +13,8 @@
 
 /// Maximum size of a report, bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Servers that one connection may report for. A server's own reports for one, a bench's for its whole fleet.
+const MAX_SERVERS_PER_CONNECTION: usize = 1024;
 /// Time without a report after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time from the first byte of a report to its last.
@@ -74,11 +76,13 @@
     let _connection = service.traffic.open_report_connection();
     let (reader, mut writer) = stream.into_split();
     let mut lines = LineReader::with_limits(reader, limits);
+    let mut servers = SenderNames::new(MAX_SERVERS_PER_CONNECTION);
     let (mut bytes_counted, mut offer_sent) = (0, false);
     while let Some(line) = lines.read_within::<Box<RawValue>>(IDLE_TIMEOUT).await? {
         service.traffic.report_bytes.add(lines.bytes_read() - bytes_counted);
         bytes_counted = lines.bytes_read();
         let report = decoder.decode(line.get())?;
+        servers.admit(&report.instance)?;
         if !offer_sent {
             write_line(&mut writer, &FormatOffer::supported(), OFFER_TIMEOUT).await?;
             offer_sent = true;
--- a/crates/lease-store/src/server/connection.rs
+++ b/crates/lease-store/src/server/connection.rs
@@ -2,14 +2,21 @@
 //! per connection.
 
 use puffinladder_leases::protocol::{ReplicaReply, ReplicaRequest, MAX_LINE_BYTES};
-use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, Reservation, TransportError};
+use puffinladder_transport::{
+    write_line, LineLimits, LineReader, MemoryBudget, Reservation, SenderNames, TransportError,
+};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 
 /// Maximum number of queued replies per connection. Further replies are dropped, and instances retry.
 const MAX_QUEUED_REPLIES: usize = 256;
+/// Requests of one connection that were read and not handled. It is read no further meanwhile.
+const MAX_UNHANDLED_REQUESTS: usize = 64;
+/// Instances that one connection may speak for; a worker's speaks for one.
+const MAX_INSTANCES: usize = 64;
 /// Time without a request after which a connection is closed; well above the renewal interval.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time from the first byte of a request to its last; peers in other regions send snapshots.
@@ -28,6 +35,8 @@
     pub reply_to: mpsc::Sender<ReplicaReply>,
     /// Memory of the request, released when it is handled.
     pub memory: Option<Reservation>,
+    /// Place among the unhandled requests of its connection.
+    pub place: OwnedSemaphorePermit,
 }
 
 /// Returns the limits of requests, with the memory that all connections share.
@@ -60,9 +69,15 @@
     requests: mpsc::Sender<IncomingRequest>,
     reply_to: mpsc::Sender<ReplicaReply>,
 ) -> Result<(), TransportError> {
+    let places = Arc::new(Semaphore::new(MAX_UNHANDLED_REQUESTS));
+    let mut instances = SenderNames::new(MAX_INSTANCES);
     while let Some(request) = lines.read_within(IDLE_TIMEOUT).await? {
+        if let ReplicaRequest::Renew(request) = &request {
+            instances.admit(&request.holder.instance)?;
+        }
         let memory = lines.take_reservation();
-        let incoming = IncomingRequest { request, reply_to: reply_to.clone(), memory };
+        let Ok(place) = places.clone().acquire_owned().await else { break };
+        let incoming = IncomingRequest { request, reply_to: reply_to.clone(), memory, place };
         if requests.send(incoming).await.is_err() {
             break;
         }
--- a/crates/lease-store/src/server/event_loop/requests.rs
+++ b/crates/lease-store/src/server/event_loop/requests.rs
@@ -26,7 +26,7 @@
 impl EventLoop {
     /// Handles one request. `now` is the host's clock (s).
     pub(super) fn handle(&mut self, now: f64, incoming: IncomingRequest) {
-        let IncomingRequest { request, reply_to, memory: _memory } = incoming;
+        let IncomingRequest { request, reply_to, memory: _memory, place: _place } = incoming;
         match request {
             ReplicaRequest::Renew(request) => self.handle_lease_request(request, reply_to),
             ReplicaRequest::PeerMessage(text) => self.handle_peer_message(&text),
--- a/crates/trace-store/src/serve.rs
+++ b/crates/trace-store/src/serve.rs
@@ -8,7 +8,7 @@
 use crate::store::{Store, StoreError};
 use puffinladder_leases::protocol::{Event, EventSink};
 use puffinladder_transport::{
-    listen, write_line, LineLimits, LineReader, MemoryBudget, RunningService, TransportError,
+    listen, write_line, LineLimits, LineReader, MemoryBudget, RunningService, SenderNames, TransportError,
 };
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -48,6 +48,8 @@
 const MAX_WAITING_REQUESTS: usize = 256;
 /// Maximum number of requests per sync, which bounds the wait of the first one.
 const MAX_BATCH: usize = 64;
+/// Tasks that one connection may announce; a worker collects for one.
+const MAX_TASKS_PER_CONNECTION: usize = 64;
 /// Time without a request after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Time from the first byte of a request to its last.
@@ -93,7 +95,11 @@
 ) -> Result<(), TransportError> {
     let (reader, mut writer) = stream.into_split();
     let mut lines = LineReader::with_limits(reader, limits);
+    let mut tasks = SenderNames::new(MAX_TASKS_PER_CONNECTION);
     while let Some(request) = lines.read_within(IDLE_TIMEOUT).await? {
+        if let Request::Announce { task, .. } = &request {
+            tasks.admit(&task.name)?;
+        }
         let (respond_to, response) = oneshot::channel();
         if requests.send(PendingRequest { request, respond_to }).await.is_err() {
             return Ok(());
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod clock;
 pub mod lines;
 pub mod memory;
+pub mod senders;
 pub mod service;
 
 pub use client::{connect, request, CONNECT_TIMEOUT};
 pub use clock::Clock;
 pub use lines::{encode_line, write_line, LineLimits, LineReader, TransportError};
 pub use memory::{MemoryBudget, Reservation};
+pub use senders::SenderNames;
 pub use service::{bind, listen, serve_connections, RunningService, ServiceError};
--- a/crates/transport/src/lines.rs
+++ b/crates/transport/src/lines.rs
@@ -24,6 +24,9 @@
     /// The memory for incomplete lines is used up, and this peer is the slowest.
     #[error(transparent)]
     MemoryReclaimed(#[from] MemoryReclaimed),
+    /// The peer sent messages under more names than this.
+    #[error("more than {0} names on one connection")]
+    TooManyNames(usize),
     /// The peer sent a line that is not JSON or not of the expected type.
     #[error("invalid message: {0}")]
     InvalidMessage(serde_json::Error),
--- a/crates/worker/src/report_planner.rs
+++ b/crates/worker/src/report_planner.rs
@@ -5,7 +5,9 @@
     CoordinatorReply, QuotaCoordinator, ReportError, ServerReport, DRAIN_TASK, QUOTA_TASK,
 };
 use puffinladder_leases::{Epoch, Task};
-use puffinladder_transport::{write_line, LineLimits, LineReader, MemoryBudget, Reservation, TransportError};
+use puffinladder_transport::{
+    write_line, LineLimits, LineReader, MemoryBudget, Reservation, SenderNames, TransportError,
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
@@ -16,6 +18,8 @@
 const ROUND_INTERVAL: f64 = 0.1;
 /// Queued replies per connection; further ones are dropped, since the next round replaces them.
 const MAX_WAITING_REPLIES: usize = 8;
+/// Servers that one connection may report for; a server's own reports for one.
+const MAX_SERVERS_PER_CONNECTION: usize = 64;
 /// Longest report, in bytes.
 const MAX_REPORT_BYTES: usize = 4 << 20;
 /// Time without a report after which a server is disconnected.
@@ -64,10 +68,12 @@
     let (reader, mut writer) = stream.into_split();
     let (reply_to, mut replies) = mpsc::channel::<CoordinatorReply>(MAX_WAITING_REPLIES);
     let mut lines = LineReader::with_limits(reader, limits);
+    let mut servers = SenderNames::new(MAX_SERVERS_PER_CONNECTION);
     loop {
         tokio::select! {
-            read = lines.read_within(IDLE_TIMEOUT) => {
+            read = lines.read_within::<ServerReport>(IDLE_TIMEOUT) => {
                 let Some(report) = read? else { return Ok(()) };
+                servers.admit(&report.server)?;
                 let memory = lines.take_reservation();
                 let received = ReceivedReport { report, reply_to: reply_to.clone(), memory };
                 if reports.send(received).await.is_err() {
