Ask a restarted replica for its members once it has applied its log

replica_keeps_what_it_confirmed_across_disk_errors failed now and then with "replica 4 is kept, among [2]", right after a restart.

The entry lies in the log; the stored commit index is behind it, and raft applies it once the replica leads. No write was lost.

Change: the test waits until the replica leads, so has applied its whole log, and asks then. A lost entry still fails it, with no time given to it: a leader without the entry has lost it.

--- a/crates/cli/tests/disk_faults.rs
+++ b/crates/cli/tests/disk_faults.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Instant;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_puffinladder");
 const ENOSPC: u32 = 28;
@@ -159,6 +160,23 @@
     serde_json::from_slice(&output.stdout).expect("the status is JSON")
 }
 
+/// Waits until the replica leads, and so has applied all entries of its log. A replica that has just started may not have
+/// stored which of its last entries are committed, and applies these only then.
+fn status_as_leader(address: SocketAddr) -> ReplicaStatus {
+    let started_at = Instant::now();
+    loop {
+        let status = replica_status(address);
+        println!(
+            "applied {}, {} entries behind the snapshot, leads: {}, learners {:?}",
+            status.applied, status.log_entries, status.is_leader, status.learners
+        );
+        if status.is_leader {
+            return status;
+        }
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "the replica does not lead");
+    }
+}
+
 /// Guards against a replica that confirms a change which its failing disk has not stored, loses one that it has
 /// confirmed, or leaves half a file when it can't create it.
 #[test]
@@ -184,7 +202,7 @@
         assert!(!replica.wait_for_exit().success(), "error {disk_error}: the process reports its failure");
         shim.set(SystemFaults::default());
         replica = start_replica(&shim, &open);
-        let learners = replica_status(replica.address).learners;
+        let learners = status_as_leader(replica.address).learners;
         assert!(learners.contains(&number), "replica {number} is kept, among {learners:?}");
     }
 }
