--- a/crates/control/src/serve/ads.rs
+++ b/crates/control/src/serve/ads.rs
@@ -7,6 +7,7 @@
 mod tests;
 
 use super::certificates::{self, Certificates};
+use super::counted_connection::ConnectionLimit;
 use super::handle::{Message, ServiceHandle};
 use crate::service::StreamId;
 use crate::stream::Update;
@@ -42,6 +43,8 @@
 const REQUEST_MEMORY_BYTES: usize = 8 * (DECODED_BYTES_PER_BYTE + 1) * MAX_REQUEST_BYTES;
 /// Time for which a proxy may leave a response unread.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Connections per open stream that the settings allow: proxies that reconnect may hold two for a while.
+const CONNECTIONS_PER_STREAM: usize = 2;
 /// Bytes that a connection may send before they are read (HTTP/2 windows of the connection and of each stream).
 const RECEIVE_WINDOW_BYTES: u32 = 65_535;
 /// Open streams on one connection; a proxy needs one, and another while it replaces it.
@@ -244,6 +247,7 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let verifies_clients = certificates.as_ref().is_some_and(|certificates| certificates.verifies_clients());
+    let connection_limit = ConnectionLimit::new(CONNECTIONS_PER_STREAM * service.max_proxies);
     let discovery = DiscoveryService {
         service,
         next_id: AtomicU64::new(1),
@@ -274,10 +278,13 @@
         Some(certificates) => {
             let (ready, connections) = mpsc::channel(READY_QUEUE);
             tokio::spawn(certificates::accept(listener, certificates, ready, accept_stopped));
-            router.serve_with_incoming_shutdown(ReceiverStream::new(connections), shutdown).await
+            let connections =
+                ReceiverStream::new(connections).filter_map(|accepted| connection_limit.admit(accepted));
+            router.serve_with_incoming_shutdown(connections, shutdown).await
         }
         None => {
             let connections = TcpListenerStream::new(listener).map(without_delay);
+            let connections = connections.filter_map(|accepted| connection_limit.admit(accepted));
             router.serve_with_incoming_shutdown(connections, shutdown).await
         }
     };
--- a/crates/control/src/serve/mod.rs
+++ b/crates/control/src/serve/mod.rs
@@ -3,6 +3,7 @@
 
 mod ads;
 mod certificates;
+mod counted_connection;
 mod debug;
 mod event_loop;
 mod handle;
--- a/crates/server/tests/reconnects.rs
+++ b/crates/server/tests/reconnects.rs
@@ -110,6 +110,22 @@
     }
 }
 
+/// Guards against a run that is started a second time, since the agent's address changes while its launch is not confirmed.
+#[test]
+fn launch_before_a_move_of_the_agent_is_not_repeated_for_a_keyed_class() {
+    let mut harness = start_server();
+    let mut gateway = harness.connect_gateway();
+    let (tag, attempt_id) = gateway.call("order", KEY, b"steps");
+    harness.agent.wait_for_command("launch", &attempt_id);
+    harness.move_peers();
+    harness.agent.wait_for_commands("subscribe", 2);
+    let samples = harness.agent.command_count("sample", "");
+    harness.agent.wait_for_commands("sample", samples + 3);
+    harness.agent.finish_run(&attempt_id);
+    assert_eq!(read_status(&mut gateway, tag).0, "200");
+    assert_eq!(harness.agent.command_count("launch", &attempt_id), 1);
+}
+
 /// Guards against callers, and run slots, of requests that nothing has started.
 #[test]
 fn lost_launch_of_a_keyed_class_fails_its_request_and_frees_its_slot() {
