Let one message count as half of the memory budget at the most

A message of the maximum size, decoded form included, was to wait until it had the whole budget of a lease store for itself. Seen by reading, not in a run; the new test largest_message_is_received_beside_small_ones fails without the change (the grant waits). 12 tests of transport and those of xDS passed.

--- a/crates/transport/src/memory.rs
+++ b/crates/transport/src/memory.rs
@@ -13,6 +13,8 @@
 
 /// Size up to which a message is received and decoded without a grant, bytes. It counts in the budget all the same.
 pub const SMALL_MESSAGE_BYTES: usize = 4096;
+/// One message counts as the budget divided by this number at the most.
+const MAX_SHARE_DIVISOR: usize = 2;
 /// Interval at which a waiting sender looks again for memory.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Bytes of a message that count as progress; a peer that sends a byte now and then makes none.
@@ -176,8 +178,8 @@
 
     fn try_grow_to(&mut self, bytes: usize) -> Grant {
         let shared = &self.reservation.budget.0;
-        // A message that needs more than the whole budget is received alone.
-        let wanted = bytes.min(shared.limit);
+        // A message that needs more counts as this, so that it need not wait until no other message is in use.
+        let wanted = bytes.min(shared.limit / MAX_SHARE_DIVISOR);
         let additional = wanted.saturating_sub(self.reservation.bytes);
         let mut usage = self.reservation.budget.usage();
         let shortage = (usage.used + additional).saturating_sub(shared.limit);
