--- a/crates/transport/src/memory/tests.rs
+++ b/crates/transport/src/memory/tests.rs
@@ -54,6 +54,14 @@
     assert_eq!(largest.grow_to(64 * KILOBYTE).await, Ok(()));
 }
 
+/// Marks all messages as waiting and asks for a byte. Returns which are given up, in the order in which they began.
+fn reclaim_while_all_wait(budget: &MemoryBudget) -> Vec<bool> {
+    let mut usage = budget.usage();
+    usage.incomplete.values_mut().for_each(|message| message.is_waiting = true);
+    usage.reclaim(1);
+    usage.incomplete.values().map(|message| message.is_reclaimed).collect()
+}
+
 /// Guards against senders that wait for each other's memory: the one that came first is completed.
 #[tokio::test]
 async fn of_messages_that_all_wait_the_last_one_is_given_up() {
@@ -64,11 +72,6 @@
         message.grow_to(20 * KILOBYTE).await.unwrap();
         messages.push(message);
     }
-    let mut usage = budget.usage();
-    usage.incomplete.values_mut().for_each(|message| message.is_waiting = true);
-    usage.reclaim(1);
-    let reclaimed: Vec<bool> = usage.incomplete.values().map(|message| message.is_reclaimed).collect();
-    drop(usage);
-    assert_eq!(reclaimed, [false, false, true]);
+    assert_eq!(reclaim_while_all_wait(&budget), [false, false, true]);
     assert_eq!(messages[2].grow_to(21 * KILOBYTE).await, Err(MemoryReclaimed));
 }
