Do not take an empty frame for the beginning of an xDS request

Cause: the layer that bounds the memory and time of proxies' requests began a request, and its 5 s, with any frame. A proxy that sent an empty DATA frame would have lost its idle stream 5 s later. Found by reading the change again, not seen with a proxy.

Change: a frame without bytes begins no request. The test empty_frame_begins_no_request fails before (DeadlineExceeded) and passes; the tests of control pass, clippy and the formatter are clean.

--- a/crates/control/src/serve/ads/request_memory.rs
+++ b/crates/control/src/serve/ads/request_memory.rs
@@ -99,6 +99,9 @@
         };
         let Some(frame) = frame.transpose()? else { return Ok(None) };
         let length = frame.data_ref().map_or(0, Bytes::len);
+        if length == 0 && incoming.is_none() {
+            return Ok(Some(frame));
+        }
         let mut incoming = incoming.unwrap_or_else(|| IncomingRequest {
             deadline: Instant::now() + self.limits.timeout,
             received: 0,
--- a/crates/control/src/serve/ads/request_memory/tests.rs
+++ b/crates/control/src/serve/ads/request_memory/tests.rs
@@ -67,3 +67,14 @@
     drop(body);
     assert_eq!(limits.memory.used(), 0);
 }
+
+/// Guards against an idle stream that is ended since an empty frame counted as the beginning of a request.
+#[tokio::test(start_paused = true)]
+async fn empty_frame_begins_no_request() {
+    let limits = limits();
+    let (sender, mut body) = open_stream(&limits);
+    sender.send(Ok(Frame::data(Bytes::new()))).expect("the body is open");
+    read_frames(&mut body, 1).await.expect("the empty frame is passed on");
+    let idle = tokio::time::timeout(10 * limits.timeout, read_frames(&mut body, 1)).await;
+    assert!(idle.is_err(), "{idle:?}");
+}
